--- /dev/null
+++ b/src/election.rs
@@ -0,0 +1,156 @@
+//! Who leads: a key attached to a state lease, and a counter that never is.
+//!
+//! One transaction conditioned on both takes the key and raises the counter,
+//! which is the fencing token. All writes of that leader are conditioned on
+//! the key's revision, so what a deposed leader left under way fails.
+
+use std::sync::Arc;
+
+use rand::RngExt;
+use tokio::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+use tracing::{info, warn};
+
+use crate::{
+    node::Node,
+    protocol::{Condition, Transaction, Write},
+    state::{StateError, lock},
+    store::{self, LEAD, Lead, TOKEN},
+};
+
+/// Stands for election whenever nobody leads, and leads when elected.
+pub async fn run(node: Arc<Node>, stop: CancellationToken) {
+    tokio::select! {
+        () = stand(&node) => {}
+        () = stop.cancelled() => {}
+    }
+}
+
+async fn stand(node: &Arc<Node>) {
+    let ttl = node.settings.leader_lease();
+    let mut hold_off: Option<Instant> = None;
+    loop {
+        let seen = {
+            let picture = lock(&node.picture);
+            picture.loaded.then(|| picture.lead.clone())
+        };
+        match seen {
+            Some(Some((version, lead))) if node.is_me(&lead) => {
+                let lost_workers = lead_on(node, version, &lead).await;
+                // Another node may hear the workers better.
+                hold_off = lost_workers.then(|| Instant::now() + node.settings.worker_lease());
+            }
+            // Our former self held it: nobody else can be using that lease.
+            Some(Some((version, lead))) if lead.member == node.settings.member => {
+                attempt(node, version, ttl).await;
+            }
+            Some(None) if hold_off.is_none_or(|until| until <= Instant::now()) => {
+                // Not all at the same instant: the first to ask wins.
+                let jitter = rand::rng().random_range(0.0..0.03);
+                tokio::time::sleep(ttl.mul_f64(jitter)).await;
+                if lock(&node.picture).lead.is_none() {
+                    attempt(node, 0, ttl).await;
+                }
+            }
+            // A change wakes us; the timer is for a hold-off that ends.
+            _ => {
+                let _ = tokio::time::timeout(ttl / 4, node.lead_changed.notified()).await;
+            }
+        }
+    }
+}
+
+/// One try to take the key from `version` (0: free).
+async fn attempt(node: &Arc<Node>, version: u64, ttl: Duration) {
+    let (token_version, token) = lock(&node.picture).token;
+    node.requests.take(1.0).await;
+    let lease = match node.state.lease(ttl).await {
+        Ok(lease) => lease,
+        Err(_) => return tokio::time::sleep(ttl / 8).await,
+    };
+    let token = token + 1;
+    let lead = Lead { member: node.settings.member.clone(), nonce: node.nonce, token, lease };
+    let (Ok(lead_value), Ok(token_value)) = (store::value(&lead), store::value(&token)) else {
+        return;
+    };
+    let txn = Transaction {
+        conditions: vec![
+            Condition { key: LEAD.into(), version },
+            Condition { key: TOKEN.into(), version: token_version },
+        ],
+        writes: vec![
+            Write::Put { key: LEAD.into(), value: lead_value, lease: Some(lease) },
+            Write::Put { key: TOKEN.into(), value: token_value, lease: None },
+        ],
+    };
+    node.requests.take(1.0).await;
+    match node.state.multi(&txn).await {
+        Ok(revision) => node.note_writes(&txn.writes, revision),
+        Err(error) => {
+            // Lost, or unsure: the picture tells who leads. An unsure try of
+            // ours that succeeded shows up there under our nonce.
+            if matches!(error, StateError::Refused(_)) {
+                tokio::time::sleep(ttl / 8).await;
+            }
+            let _ = node.fresh().await;
+        }
+    }
+}
+
+/// Leads until the key is lost. True if it was given up for want of workers.
+async fn lead_on(node: &Arc<Node>, version: u64, lead: &Lead) -> bool {
+    let ttl = node.settings.leader_lease();
+    info!(token = lead.token, "elected");
+    // The renewal that brought the key counts from before it was asked for,
+    // which is unknown here; the first renewal follows at once.
+    node.begin_term(version, lead.token);
+    let stop = CancellationToken::new();
+    let duty = tokio::spawn(crate::node::lead_duty(node.clone(), version, stop.clone()));
+    let mut deserted = false;
+    loop {
+        let asked = Instant::now();
+        node.requests.take(1.0).await;
+        match node.state.touch(lead.lease).await {
+            Ok(()) => node.renewed(version, asked),
+            Err(StateError::NoLease) => {
+                warn!(token = lead.token, "the leader's lease has ended");
+                break;
+            }
+            Err(error) => warn!(%error, "the leader's lease could not be renewed"),
+        }
+        let next = asked + ttl / 3;
+        let ended = loop {
+            if !node.leads(version) {
+                break true;
+            }
+            if node.deserted(version) {
+                deserted = true;
+                break true;
+            }
+            let wake = tokio::time::timeout_at(next, node.lead_changed.notified()).await;
+            if wake.is_err() {
+                break false;
+            }
+        };
+        if ended {
+            break;
+        }
+    }
+    info!(token = lead.token, deserted, "leads no more");
+    node.end_term(version);
+    stop.cancel();
+    let _ = duty.await;
+    // Giving the lease back lets a successor start at once. After a loss this
+    // frees nothing that is still ours.
+    let _ = node.state.drop_lease(lead.lease).await;
+    // The key must not look held by us when standing again.
+    while lock(&node.picture).lead.as_ref().is_some_and(|(v, _)| *v == version) {
+        if node.fresh().await.is_err() {
+            tokio::time::sleep(ttl / 8).await;
+            if node.state.touch(lead.lease).await.is_ok() {
+                let _ = node.state.drop_lease(lead.lease).await;
+            }
+        }
+    }
+    deserted
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,253 @@
+//! Machines as the leader knows them: sessions, reports, silence, faults.
+//!
+//! The hard question here is when a task is certainly gone from a machine.
+//! Only these count as proof: a report of a newer (session, sequence) at the
+//! leader's own token that lacks the task; a later session; a deletion that
+//! the cloud answered; or the worker's lease, counted from the leader's last
+//! answer, if the worker had been seen at the leader's token.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
+
+use tokio::time::{Duration, Instant};
+
+use crate::{
+    protocol::{JobId, ListedMachine, MachineId, MachineState, Report},
+    scheduler::Resources,
+    settings::Settings,
+};
+
+pub type TaskKey = (JobId, u32);
+
+/// Reads the wire's `j-000412/3`.
+pub fn parse_task(name: &str) -> Option<TaskKey> {
+    let (job, task) = name.split_once('/')?;
+    Some((job.into(), task.parse().ok()?))
+}
+
+pub fn task_name(job: &str, task: u32) -> String {
+    format!("{job}/{task}")
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub machine_type: Arc<str>,
+    pub zone: Arc<str>,
+    pub spot: bool,
+    pub addr: String,
+    /// Known since (rented, listed or heard for the first time).
+    pub since: Instant,
+    /// Latest message seen: (session, sequence).
+    pub seen: (u64, u64),
+    /// The worker has been seen at the leader's token in this session.
+    pub mine: bool,
+    /// When the leader last answered a report of this worker.
+    pub answered: Option<Instant>,
+    /// No task of this session or an earlier one can be on the machine.
+    pub dead_session: u64,
+    pub bound: BTreeSet<TaskKey>,
+    /// What tasks on the machine use that the leader has not bound there.
+    pub strangers: Resources,
+    /// Images fetched here, as far as the leader placed their tasks.
+    pub images: Vec<Arc<str>>,
+    pub notice_until: Option<Instant>,
+    pub deleting: bool,
+    /// Not used before then: it failed tasks, or doesn't hear its orders.
+    pub shunned_until: Option<Instant>,
+    /// Jobs whose tasks failed here since a task last did well.
+    pub failed_jobs: BTreeSet<JobId>,
+    /// How often in a row it did not carry out an order.
+    pub deaf: u32,
+    /// Holds no task since.
+    pub idle_since: Option<Instant>,
+    pub listed: Option<MachineState>,
+}
+
+impl Machine {
+    pub fn new(machine_type: Arc<str>, zone: Arc<str>, spot: bool, now: Instant) -> Self {
+        Self {
+            machine_type,
+            zone,
+            spot,
+            addr: String::new(),
+            since: now,
+            seen: (0, 0),
+            mine: false,
+            answered: None,
+            dead_session: 0,
+            bound: BTreeSet::new(),
+            strangers: Resources::default(),
+            images: Vec::new(),
+            notice_until: None,
+            deleting: false,
+            shunned_until: None,
+            failed_jobs: BTreeSet::new(),
+            deaf: 0,
+            idle_since: None,
+            listed: None,
+        }
+    }
+
+    pub fn heard(&self) -> bool {
+        self.answered.is_some()
+    }
+
+    /// How long the machine has not been heard (since it was known, if never).
+    pub fn silence(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.answered.unwrap_or(self.since))
+    }
+
+    /// Whether new tasks may be bound to it.
+    pub fn ready(&self, now: Instant, report: Duration) -> bool {
+        self.usable(now, report) && self.shunned_until.is_none_or(|until| until <= now)
+    }
+
+    /// Alive and under the leader's command.
+    pub fn usable(&self, now: Instant, report: Duration) -> bool {
+        self.mine
+            && !self.deleting
+            && self.notice_until.is_none()
+            && self.seen.0 > self.dead_session
+            && self.silence(now) < report * 3
+    }
+
+    /// Proof by lease: the worker gave up its session by itself.
+    pub fn lease_over(&self, now: Instant, lease: Duration) -> bool {
+        self.mine && self.answered.is_some_and(|at| now > at + lease)
+    }
+}
+
+/// How new a report is.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Freshness {
+    Newer,
+    /// A later session than the one known before: everything earlier is gone.
+    NewSession,
+    /// A late copy, or of a session that is over, or of a machine deleted.
+    Stale,
+}
+
+#[derive(Default)]
+pub struct Fleet {
+    pub machines: BTreeMap<MachineId, Machine>,
+    /// Deleted for certain; lists and late reports may still speak of them.
+    pub gone: HashMap<MachineId, Instant>,
+}
+
+impl Fleet {
+    /// Notes a report and tells how new it is.
+    pub fn note_report(&mut self, report: &Report, token: u64, now: Instant) -> Freshness {
+        if self.gone.contains_key(&report.machine) {
+            return Freshness::Stale;
+        }
+        let machine = self.machines.entry(report.machine.clone()).or_insert_with(|| {
+            let (kind, zone) = (report.machine_type.clone(), report.zone.clone());
+            Machine::new(kind, zone, report.spot, now)
+        });
+        let seen = (report.session, report.seq);
+        if seen <= machine.seen || report.session <= machine.dead_session {
+            return Freshness::Stale;
+        }
+        let new_session = report.session > machine.seen.0;
+        if machine.answered.is_none() {
+            // The list may have guessed; the machine itself knows.
+            machine.machine_type = report.machine_type.clone();
+            machine.zone = report.zone.clone();
+            machine.spot = report.spot;
+        }
+        machine.seen = seen;
+        machine.answered = Some(now);
+        machine.mine = report.token == token;
+        machine.addr.clone_from(&report.addr);
+        machine.notice_until = report
+            .notice_s
+            .filter(|s| s.is_finite())
+            .map(|s| now + Duration::from_secs_f64(s.clamp(0.0, 1e6)));
+        if new_session { Freshness::NewSession } else { Freshness::Newer }
+    }
+
+    /// Notes what the cloud lists. A list lags, so it proves nothing about
+    /// machines it lacks; it only brings up those not known yet.
+    pub fn note_list(&mut self, list: &[ListedMachine], now: Instant) {
+        for listed in list {
+            if self.gone.contains_key(&listed.id) {
+                continue;
+            }
+            let machine = self.machines.entry(listed.id.clone()).or_insert_with(|| {
+                let (kind, zone) = (listed.machine_type.clone(), listed.zone.clone());
+                let mut machine = Machine::new(kind, zone, listed.spot, now);
+                let age = Duration::from_secs_f64(listed.age_s.clamp(0.0, 1e6));
+                if listed.state == MachineState::Booting {
+                    machine.since = now.checked_sub(age).unwrap_or(now);
+                }
+                machine
+            });
+            machine.listed = Some(listed.state);
+        }
+    }
+
+    /// Whether most machines that were heard before fell silent at once: then
+    /// the fault is more likely on this side.
+    pub fn mostly_silent(&self, now: Instant, limit: Duration) -> bool {
+        let heard = self.machines.values().filter(|m| m.heard() && !m.deleting);
+        let (mut all, mut silent) = (0, 0);
+        for machine in heard {
+            all += 1;
+            if machine.silence(now) > limit {
+                silent += 1;
+            }
+        }
+        all >= 3 && silent * 2 > all
+    }
+
+    /// Machines that are of no use any more and should be returned, with the
+    /// reason for the operator.
+    pub fn to_delete(
+        &self,
+        settings: &Settings,
+        boot_s: impl Fn(&str) -> f64,
+        now: Instant,
+    ) -> Vec<(MachineId, &'static str)> {
+        let lease = settings.worker_lease();
+        let one_sided = self.mostly_silent(now, lease);
+        let mut found = Vec::new();
+        for (id, machine) in &self.machines {
+            if machine.deleting {
+                continue;
+            }
+            let silence = machine.silence(now);
+            let boot = Duration::from_secs_f64(boot_s(&machine.machine_type));
+            let reason = if machine.listed == Some(MachineState::Failed) && silence > lease {
+                "it failed"
+            } else if !machine.heard() && machine.listed != Some(MachineState::Running) {
+                // Some take several times as long to boot; a few never do.
+                if silence <= boot * 4 || silence <= lease * 2 {
+                    continue;
+                }
+                "it never booted"
+            } else if silence > lease * 3 || (silence > lease * 3 / 2 && !machine.bound.is_empty())
+            {
+                // Tasks may still be bound to it if its worker was never seen
+                // at this token: only a deletion proves that they are gone.
+                if one_sided && silence < lease * 6 {
+                    continue;
+                }
+                "it is silent"
+            } else if machine.failed_jobs.len() >= 2 && machine.bound.is_empty() {
+                "it fails what it runs"
+            } else if machine.deaf >= 3 {
+                "it does not carry out orders"
+            } else {
+                continue;
+            };
+            found.push((id.clone(), reason));
+        }
+        found
+    }
+
+    pub fn forget_gone(&mut self, now: Instant, keep: Duration) {
+        self.gone.retain(|_, at| now.saturating_duration_since(*at) < keep);
+    }
+}
--- /dev/null
+++ b/src/http/client.rs
@@ -0,0 +1,87 @@
+//! The pooled HTTP client that the state service and the cloud are called with.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode, header};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::{Serialize, de::DeserializeOwned};
+use thiserror::Error;
+
+/// No usable answer came: the request may have been carried out, may still be,
+/// or may never be.
+#[derive(Debug, Error)]
+pub enum CallError {
+    #[error("no answer in time")]
+    Timeout,
+    #[error("connection: {0}")]
+    Connection(String),
+    #[error("malformed answer: {0}")]
+    Malformed(String),
+}
+
+pub struct Answer {
+    pub status: StatusCode,
+    pub body: Bytes,
+}
+
+impl Answer {
+    pub fn parse<T: DeserializeOwned>(&self) -> Result<T, CallError> {
+        serde_json::from_slice(&self.body).map_err(|e| CallError::Malformed(e.to_string()))
+    }
+}
+
+#[derive(Clone)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpClient {
+    /// `idle` connections are kept for later calls; a connection unused for
+    /// `keep` is closed.
+    pub fn new(idle: usize, keep: Duration, connect: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(connect));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(keep)
+            .pool_max_idle_per_host(idle)
+            .build(connector);
+        Self { client }
+    }
+
+    /// One call. When `within` runs out the request is dropped, which also
+    /// closes its connection.
+    pub async fn call<B: Serialize>(
+        &self,
+        method: Method,
+        to: SocketAddr,
+        path: &str,
+        body: Option<&B>,
+        within: Duration,
+    ) -> Result<Answer, CallError> {
+        let failed = |e: &dyn std::error::Error| CallError::Connection(e.to_string());
+        let bytes = match body {
+            Some(body) => serde_json::to_vec(body).map_err(|e| failed(&e))?,
+            None => Vec::new(),
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{to}{path}"))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::from(bytes))
+            .map_err(|e| failed(&e))?;
+        let exchange = async {
+            let response = self.client.request(request).await.map_err(|e| failed(&e))?;
+            let status = response.status();
+            let body = response.into_body().collect().await.map_err(|e| failed(&e))?;
+            Ok(Answer { status, body: body.to_bytes() })
+        };
+        tokio::time::timeout(within, exchange).await.unwrap_or(Err(CallError::Timeout))
+    }
+}
--- /dev/null
+++ b/src/http/server.rs
@@ -0,0 +1,200 @@
+//! The routes that users, the load balancer and workers call.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http_body_util::Limited;
+use hyper::{Request, body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    service::TowerToHyperService,
+};
+use tokio::{net::TcpListener, sync::Semaphore};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tracing::debug;
+use warp::{
+    Filter, Rejection, Reply,
+    http::{HeaderValue, StatusCode, header},
+    reply::Response,
+};
+
+use crate::{
+    node::{Node, ReportReply, Trouble, UserReply},
+    protocol::{BODY_LIMIT, ErrorBody, Misdirected, Report, ReportAnswer},
+};
+
+/// Sockets kept back from incoming connections for the service's own calls.
+const OWN_SOCKETS: u32 = 24;
+
+fn json<T: serde::Serialize>(status: StatusCode, body: &T) -> Response {
+    warp::reply::with_status(warp::reply::json(body), status).into_response()
+}
+
+fn error(status: StatusCode, reason: impl Into<String>) -> Response {
+    json(status, &ErrorBody { error: reason.into() })
+}
+
+/// A refusal says when to come back. It is given at once: holding a request
+/// back would only hide that it can't be taken.
+fn come_back(reason: &str) -> Response {
+    let mut response = error(StatusCode::SERVICE_UNAVAILABLE, reason);
+    response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static("1"));
+    response
+}
+
+fn user_response(reply: Result<UserReply, Trouble>) -> Response {
+    match reply {
+        Ok(UserReply::Created(status)) => json(StatusCode::CREATED, &status),
+        Ok(UserReply::Known(status)) => json(StatusCode::OK, &status),
+        Ok(UserReply::Unknown) => error(StatusCode::NOT_FOUND, "no such job"),
+        Ok(UserReply::Malformed(reason)) => error(StatusCode::BAD_REQUEST, reason),
+        Ok(UserReply::Impossible(reason)) => error(StatusCode::UNPROCESSABLE_ENTITY, reason),
+        Err(trouble) => come_back(&trouble.to_string()),
+    }
+}
+
+/// Runs a user's request if the admission limit has room for it.
+async fn admitted(node: Arc<Node>, work: BoxFuture<'_, Result<UserReply, Trouble>>) -> Response {
+    let Some(permit) = node.admission.enter() else {
+        return come_back("too many requests in progress");
+    };
+    let reply = work.await;
+    match &reply {
+        // Refusals come fast and would make a slow service look quick.
+        Err(_) => permit.discard(),
+        Ok(_) => permit.finish(),
+    }
+    user_response(reply)
+}
+
+fn report_response(node: &Node, body: &Bytes) -> Response {
+    let report: Report = match serde_json::from_slice(body) {
+        Ok(report) => report,
+        Err(e) => return error(StatusCode::BAD_REQUEST, e.to_string()),
+    };
+    match node.report(&report) {
+        ReportReply::Orders { token, orders } => {
+            json(StatusCode::OK, &ReportAnswer { token, orders })
+        }
+        ReportReply::Elsewhere(report_to) => {
+            json(StatusCode::MISDIRECTED_REQUEST, &Misdirected { report_to })
+        }
+    }
+}
+
+pub fn routes(
+    node: Arc<Node>,
+) -> impl Filter<Extract = (impl Reply,), Error = Infallible> + Clone + Send + Sync + 'static {
+    let with_node = {
+        let node = node.clone();
+        warp::any().map(move || node.clone())
+    };
+    let beat = warp::path!("agent" / "beat")
+        .and(warp::post())
+        .and(warp::body::bytes())
+        .and(with_node.clone())
+        .map(|body: Bytes, node: Arc<Node>| report_response(&node, &body));
+    let status = warp::path!("work" / String).and(warp::get()).and(with_node.clone()).then(
+        |id: String, node: Arc<Node>| async move {
+            let asked = node.clone();
+            admitted(node, Box::pin(async move { asked.status(&id).await })).await
+        },
+    );
+    let submit =
+        warp::path!("work").and(warp::post()).and(warp::body::bytes()).and(with_node.clone()).then(
+            |body: Bytes, node: Arc<Node>| async move {
+                let asked = node.clone();
+                admitted(node, Box::pin(async move { asked.submit(&body).await })).await
+            },
+        );
+    let withdraw = warp::path!("work" / String / "withdraw")
+        .and(warp::post())
+        .and(with_node.clone())
+        .then(|id: String, node: Arc<Node>| async move {
+            let asked = node.clone();
+            admitted(node, Box::pin(async move { asked.cancel(&id).await })).await
+        });
+    let up = warp::path!("up").and(warp::get()).and(with_node).map(|node: Arc<Node>| {
+        if node.healthy() {
+            warp::reply::with_status("ok\n", StatusCode::OK).into_response()
+        } else {
+            come_back("not ready")
+        }
+    });
+    beat.or(status)
+        .unify()
+        .or(submit)
+        .unify()
+        .or(up)
+        .unify()
+        .or(withdraw)
+        .unify()
+        .recover(|rejection: Rejection| async move { Ok::<_, Infallible>(rejected(&rejection)) })
+}
+
+fn rejected(rejection: &Rejection) -> Response {
+    if rejection.is_not_found() {
+        error(StatusCode::NOT_FOUND, "no such path")
+    } else if rejection.find::<warp::reject::MethodNotAllowed>().is_some() {
+        error(StatusCode::METHOD_NOT_ALLOWED, "no such method here")
+    } else {
+        // What is left are bodies that can't be read or are too large.
+        error(StatusCode::BAD_REQUEST, "the body can't be read")
+    }
+}
+
+/// Accepts connections until told to stop, with a routine for each.
+pub async fn serve(node: Arc<Node>, listener: TcpListener, stop: CancellationToken) {
+    let limit = node.settings.cluster.quota.fd_limit.saturating_sub(OWN_SOCKETS).max(8);
+    let slots = Arc::new(Semaphore::new(limit as usize));
+    let idle = node.settings.worker_lease() * 6;
+    let service = warp::service(routes(node));
+    let connections = TaskTracker::new();
+    loop {
+        let slot = tokio::select! {
+            slot = slots.clone().acquire_owned() => slot,
+            () = stop.cancelled() => break,
+        };
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    debug!(error = %e, "accept");
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    continue;
+                }
+            },
+            () = stop.cancelled() => break,
+        };
+        let _ = stream.set_nodelay(true);
+        let inner = TowerToHyperService::new(service.clone());
+        let service = service_fn(move |request: Request<Incoming>| {
+            let request = request.map(|body| Limited::new(body, BODY_LIMIT));
+            hyper::service::Service::call(&inner, request)
+        });
+        let stop = stop.clone();
+        connections.spawn(async move {
+            let connection = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(idle)
+                .max_buf_size(BODY_LIMIT / 4)
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::pin!(connection);
+            tokio::select! {
+                result = connection.as_mut() => {
+                    if let Err(e) = result {
+                        debug!(error = %e, "connection");
+                    }
+                }
+                () = stop.cancelled() => {
+                    connection.as_mut().graceful_shutdown();
+                    let _ = connection.await;
+                }
+            }
+            drop(slot);
+        });
+    }
+    connections.close();
+    connections.wait().await;
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+//! stonewheel: a scheduler for fleets that serve language models.
+//!
+//! A leading controller periodically admits waiting elastic jobs in arrival
+//! order and sets every job's width by a dynamic program maximising summed
+//! throughput scaling factors, resizing through checkpoint and resume.
+
+pub mod admission_limit;
+pub mod cloud;
+pub mod controller;
+pub mod election;
+pub mod fleet;
+pub mod http;
+pub mod node;
+pub mod peers;
+pub mod protocol;
+pub mod scheduler;
+pub mod settings;
+pub mod state;
+pub mod store;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,66 @@
+//! The program: arguments, logging, and the library's node on its listeners.
+
+use std::{path::PathBuf, process::ExitCode, sync::Arc};
+
+use clap::Parser;
+use stonewheel::{cloud::HttpCloud, node::Node, settings::Settings, state::HttpState};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tracing::level_filters::LevelFilter;
+
+/// A scheduler for fleets that serve language models.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    /// The platform's settings file (TOML)
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// The operators' own settings (INI)
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+    /// Check the settings and exit
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let settings = match Settings::load(&arguments.config, arguments.operator.as_deref()) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("stonewheel: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    if arguments.check {
+        println!("the settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    let level = std::env::var("LOG_LEVEL").ok().and_then(|l| l.parse::<LevelFilter>().ok());
+    tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .with_max_level(level.unwrap_or(LevelFilter::INFO))
+        .with_ansi(false)
+        .without_time()
+        .init();
+    match serve(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!(%error, "can't serve");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(settings: Settings) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let public = TcpListener::bind(settings.public_addr).await?;
+        let internal = TcpListener::bind(settings.internal_addr).await?;
+        tracing::info!(member = %settings.member, zone = %settings.zone, "starting");
+        let state = Arc::new(HttpState::new(&settings));
+        let cloud = Arc::new(HttpCloud::new(&settings));
+        Node::new(settings, state, cloud).run(public, internal, CancellationToken::new()).await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/src/scheduler/mod.rs
@@ -0,0 +1,192 @@
+//! What runs where: pure functions from a snapshot to decisions.
+//!
+//! Nothing here does I/O or reads a clock, so every decision can be repeated
+//! from its snapshot.
+
+pub mod admission;
+pub mod optimizer;
+pub mod placement;
+pub mod preemption;
+
+use std::{collections::HashMap, sync::Arc};
+
+use crate::{
+    protocol::{JobId, JobSpec, MachineId, MachineType, Shape},
+    settings::{Settings, Team},
+};
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Resources {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+/// Sums of decimal amounts are compared with a little slack.
+const SLACK: f64 = 1e-6;
+
+impl Resources {
+    pub fn of_task(spec: &JobSpec) -> Self {
+        Self { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
+    }
+
+    pub fn of_type(kind: &MachineType) -> Self {
+        Self { cpus: kind.cpus, gpus: kind.gpus, memory_gb: kind.memory_gb }
+    }
+
+    pub fn holds(&self, need: &Self) -> bool {
+        need.cpus <= self.cpus + SLACK
+            && need.gpus <= self.gpus + SLACK
+            && need.memory_gb <= self.memory_gb + SLACK
+    }
+
+    pub fn add(&mut self, other: &Self) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.memory_gb += other.memory_gb;
+    }
+
+    pub fn sub(&mut self, other: &Self) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.memory_gb -= other.memory_gb;
+    }
+
+    /// The share of `total` that the scarcest resource takes.
+    pub fn share_of(&self, total: &Self) -> f64 {
+        let share = |need: f64, have: f64| if have > 0.0 { need / have } else { 0.0 };
+        share(self.cpus, total.cpus)
+            .max(share(self.gpus, total.gpus))
+            .max(share(self.memory_gb, total.memory_gb))
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct MachineView {
+    pub id: MachineId,
+    pub kind: usize,
+    pub zone: u8,
+    pub spot: bool,
+    pub free: Resources,
+    /// What tasks that are being stopped here will give back.
+    pub stopping: Resources,
+    /// Takes tasks now; otherwise it is still booting.
+    pub ready: bool,
+    /// Holds no task.
+    pub empty: bool,
+    pub images: Vec<Arc<str>>,
+}
+
+#[derive(Clone, Debug)]
+pub struct BoundView {
+    pub task: u32,
+    pub machine: Option<usize>,
+    pub zone: u8,
+    pub stopping: bool,
+    /// Seconds of work that stopping it now would lose.
+    pub loss_s: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct JobView {
+    pub id: JobId,
+    pub spec: Arc<JobSpec>,
+    /// Order of arrival.
+    pub arrival: u64,
+    /// Tasks that could start now, lowest first.
+    pub pending: Vec<u32>,
+    /// Tasks not done yet.
+    pub remaining: u32,
+    pub bound: Vec<BoundView>,
+    /// Width granted, or 0 for a job not admitted yet.
+    pub width: u32,
+    /// Waits out a failure of its own.
+    pub held: bool,
+    /// Machines that failed its tasks.
+    pub avoid: Vec<MachineId>,
+}
+
+impl JobView {
+    /// Tasks that its width still lets start.
+    pub fn startable(&self) -> usize {
+        if self.held {
+            return 0;
+        }
+        match self.spec.shape {
+            Shape::Service => self.pending.len(),
+            // All tasks of a gang start together, after the last attempt's
+            // tasks are gone.
+            Shape::Gang if self.bound.is_empty() => self.pending.len(),
+            Shape::Gang => 0,
+            Shape::Array => {
+                self.pending.len().min((self.width as usize).saturating_sub(self.bound.len()))
+            }
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct TeamUse {
+    pub cpus: f64,
+    pub gpus: f64,
+}
+
+pub struct Snapshot<'a> {
+    pub settings: &'a Settings,
+    pub types: &'a [MachineType],
+    pub machines: Vec<MachineView>,
+    /// In order of arrival.
+    pub jobs: Vec<JobView>,
+    /// What each team's bound tasks use.
+    pub usage: HashMap<Arc<str>, TeamUse>,
+    /// Kinds of machine (type, zone, spot) that the cloud refused lately.
+    pub refused: Vec<(usize, u8, bool)>,
+    /// Whether the design's round is due now.
+    pub round: bool,
+}
+
+#[derive(Debug, Default, PartialEq)]
+pub struct Decisions {
+    pub place: Vec<(JobId, u32, MachineId)>,
+    pub stop: Vec<(JobId, u32)>,
+    pub widths: Vec<(JobId, u32)>,
+    /// (type, zone, spot, how many)
+    pub rent: Vec<(usize, u8, bool, u32)>,
+    /// Booting machines that waiting work counts on.
+    pub awaited: Vec<MachineId>,
+}
+
+/// One pass: widths (in a round), then places, then room by preemption, then
+/// machines to rent for what is left.
+pub fn decide(mut snapshot: Snapshot<'_>) -> Decisions {
+    let mut decisions = Decisions::default();
+    admission::set_widths(&mut snapshot, &mut decisions);
+    placement::place(&mut snapshot, &mut decisions);
+    decisions
+}
+
+/// Guarantee first, then priority, then arrival: the order in which waiting
+/// work takes room.
+pub fn order(snapshot: &Snapshot<'_>) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..snapshot.jobs.len()).collect();
+    order.sort_by_key(|&at| {
+        let job = &snapshot.jobs[at];
+        let elastic = job.spec.shape == Shape::Array;
+        (std::cmp::Reverse(job.spec.priority), elastic, job.arrival)
+    });
+    order
+}
+
+/// How many more tasks of this need the team's limit allows.
+pub fn team_room(team: Option<&Team>, usage: &TeamUse, spec: &JobSpec) -> u32 {
+    let Some(team) = team else { return 0 };
+    let room = |need: f64, used: f64, limit: f64| {
+        if limit <= 0.0 || need <= 0.0 {
+            f64::INFINITY
+        } else {
+            ((limit - used + SLACK) / need).floor().max(0.0)
+        }
+    };
+    room(spec.cpus, usage.cpus, team.cpus_max).min(room(spec.gpus, usage.gpus, team.gpus_max))
+        as u32
+}
--- /dev/null
+++ b/src/scheduler/placement.rs
@@ -0,0 +1,260 @@
+//! Which machine each task starts on, and which machines to rent for the rest.
+
+use std::collections::BTreeMap;
+
+use crate::protocol::{JobSpec, MachineId, MachineType, Shape};
+
+use super::{Decisions, JobView, MachineView, Resources, Snapshot, order, preemption, team_room};
+
+/// Whether a job may use machines of this kind, zone aside.
+pub fn allows(spec: &JobSpec, kind: &MachineType, spot: bool) -> bool {
+    (spec.spot || !spot)
+        && spec.types.as_ref().is_none_or(|types| types.contains(&kind.name))
+        && Resources::of_type(kind).holds(&Resources::of_task(spec))
+}
+
+/// The zones that a job's tasks hold, and so where one more may go.
+#[derive(Clone)]
+pub struct Zones<'a> {
+    spec: &'a JobSpec,
+    fixed: Option<u8>,
+    counts: BTreeMap<u8, u32>,
+}
+
+impl<'a> Zones<'a> {
+    pub fn of(job: &'a JobView, zone_index: impl Fn(&str) -> Option<u8>) -> Self {
+        let mut counts = BTreeMap::new();
+        for bound in &job.bound {
+            *counts.entry(bound.zone).or_default() += 1;
+        }
+        // A zone that the settings don't know is no zone of ours.
+        let fixed = job.spec.zone.as_ref().map(|z| zone_index(z).unwrap_or(u8::MAX));
+        Self { spec: &job.spec, fixed, counts }
+    }
+
+    pub fn allow(&self, zone: u8) -> bool {
+        if self.fixed.is_some_and(|z| z != zone) {
+            return false;
+        }
+        if self.spec.one_zone && self.counts.keys().any(|z| *z != zone) {
+            return false;
+        }
+        let here = self.counts.get(&zone).copied().unwrap_or(0);
+        !self.spec.spread || here < self.spec.tasks.div_ceil(2)
+    }
+
+    pub fn take(&mut self, zone: u8) {
+        *self.counts.entry(zone).or_default() += 1;
+    }
+}
+
+pub fn place(snapshot: &mut Snapshot<'_>, decisions: &mut Decisions) {
+    let mut lacking: Vec<(usize, Vec<u32>)> = Vec::new();
+    for at in order(snapshot) {
+        let job = &snapshot.jobs[at];
+        let wanted = job.startable();
+        if wanted == 0 {
+            continue;
+        }
+        let usage = snapshot.usage.entry(job.spec.team.clone()).or_default();
+        let room = team_room(snapshot.settings.team(&job.spec.team), usage, &job.spec) as usize;
+        if room == 0 || (job.spec.shape == Shape::Gang && room < wanted) {
+            continue;
+        }
+        let spec = job.spec.clone();
+        let tasks: Vec<u32> = job.pending[..wanted.min(room)].to_vec();
+        let found = find(snapshot, at, tasks.len(), true);
+        let usage = snapshot.usage.entry(spec.team.clone()).or_default();
+        usage.cpus += spec.cpus * tasks.len() as f64;
+        usage.gpus += spec.gpus * tasks.len() as f64;
+        for (&task, &machine) in tasks.iter().zip(&found) {
+            let id = snapshot.machines[machine].id.clone();
+            decisions.place.push((snapshot.jobs[at].id.clone(), task, id));
+            bind_in_thought(snapshot, at, machine);
+        }
+        let rest = tasks[found.len()..].to_vec();
+        if !rest.is_empty() {
+            lacking.push((at, rest));
+        }
+    }
+    lacking.retain(|(at, tasks)| !preemption::make_room(snapshot, *at, tasks.len(), decisions));
+    rent(snapshot, &lacking, decisions);
+}
+
+fn hold(snapshot: &mut Snapshot<'_>, at: usize, machine: usize) {
+    let spec = &snapshot.jobs[at].spec;
+    let view = &mut snapshot.machines[machine];
+    view.free.sub(&Resources::of_task(spec));
+    view.empty = false;
+    if !view.images.contains(&spec.image) {
+        view.images.push(spec.image.clone());
+    }
+}
+
+/// Machines for up to `count` more tasks of a job; a gang gets all or none.
+fn find(snapshot: &Snapshot<'_>, at: usize, count: usize, ready: bool) -> Vec<usize> {
+    let job = &snapshot.jobs[at];
+    let zones = Zones::of(job, |z| snapshot.settings.zone_index(z));
+    let open: Vec<usize> = (0..snapshot.machines.len())
+        .filter(|&m| {
+            let machine = &snapshot.machines[m];
+            machine.ready == ready
+                && allows(&job.spec, &snapshot.types[machine.kind], machine.spot)
+                && !job.avoid.contains(&machine.id)
+        })
+        .collect();
+    if job.spec.one_zone && job.spec.tasks > 1 && job.bound.is_empty() {
+        // The zone that takes the most tasks takes them all.
+        return (0..snapshot.settings.cluster.zones.len() as u8)
+            .map(|zone| {
+                let here: Vec<usize> =
+                    open.iter().copied().filter(|&m| snapshot.machines[m].zone == zone).collect();
+                fill(snapshot, job, &here, count, zones.clone())
+            })
+            .max_by_key(Vec::len)
+            .unwrap_or_default();
+    }
+    fill(snapshot, job, &open, count, zones)
+}
+
+fn fill(
+    snapshot: &Snapshot<'_>,
+    job: &JobView,
+    open: &[usize],
+    count: usize,
+    mut zones: Zones<'_>,
+) -> Vec<usize> {
+    let need = Resources::of_task(&job.spec);
+    let mut free: BTreeMap<usize, Resources> =
+        open.iter().map(|&m| (m, snapshot.machines[m].free)).collect();
+    let mut found = Vec::new();
+    while found.len() < count {
+        let best = free
+            .iter()
+            .filter(|(m, free)| free.holds(&need) && zones.allow(snapshot.machines[**m].zone))
+            .map(|(&m, free)| (m, cost(snapshot, job, m, free, found.contains(&m))))
+            .min_by(|a, b| a.1.total_cmp(&b.1));
+        let Some((m, _)) = best else { break };
+        if let Some(free) = free.get_mut(&m) {
+            free.sub(&need);
+        }
+        zones.take(snapshot.machines[m].zone);
+        found.push(m);
+    }
+    if job.spec.shape == Shape::Gang && found.len() < count {
+        found.clear();
+    }
+    found
+}
+
+/// What a place costs, in seconds: the fetch of an image it lacks, the whole
+/// machine it breaks into, the room it leaves scattered, and an ordinary
+/// machine given to work that spot machines could do.
+fn cost(
+    snapshot: &Snapshot<'_>,
+    job: &JobView,
+    machine: usize,
+    free: &Resources,
+    taken: bool,
+) -> f64 {
+    let view: &MachineView = &snapshot.machines[machine];
+    let kind = &snapshot.types[view.kind];
+    let fetch = if taken || view.images.contains(&job.spec.image) || kind.fetch_gb_per_s <= 0.0 {
+        0.0
+    } else {
+        job.spec.image_gb / kind.fetch_gb_per_s
+    };
+    let total = Resources::of_type(kind);
+    let fills = Resources::of_task(&job.spec).share_of(&total) > 0.5;
+    let breaks = if view.empty && !taken && !fills { kind.boot_s / 4.0 } else { 0.0 };
+    let scattered = free.share_of(&total) * kind.boot_s / 4.0;
+    let dear = if job.spec.spot && !view.spot { kind.boot_s / 2.0 } else { 0.0 };
+    fetch + breaks + scattered + dear
+}
+
+/// Rents for tasks that no running machine takes, after the booting machines
+/// are filled in thought.
+fn rent(snapshot: &mut Snapshot<'_>, lacking: &[(usize, Vec<u32>)], decisions: &mut Decisions) {
+    let real = snapshot.machines.len();
+    for (at, tasks) in lacking {
+        let mut left = tasks.len();
+        let found = find(snapshot, *at, left, false);
+        left -= found.len();
+        for machine in found {
+            if machine < real {
+                decisions.awaited.push(snapshot.machines[machine].id.clone());
+            }
+            bind_in_thought(snapshot, *at, machine);
+        }
+        while left > 0 {
+            let Some((kind, zone, spot)) = choose(snapshot, *at) else { break };
+            snapshot.machines.push(MachineView {
+                id: MachineId::from(""),
+                kind,
+                zone,
+                spot,
+                free: Resources::of_type(&snapshot.types[kind]),
+                stopping: Resources::default(),
+                ready: false,
+                empty: true,
+                images: Vec::new(),
+            });
+            let machine = snapshot.machines.len() - 1;
+            let need = Resources::of_task(&snapshot.jobs[*at].spec);
+            while left > 0 && snapshot.machines[machine].free.holds(&need) {
+                let zones = Zones::of(&snapshot.jobs[*at], |z| snapshot.settings.zone_index(z));
+                if !zones.allow(zone) {
+                    break;
+                }
+                bind_in_thought(snapshot, *at, machine);
+                left -= 1;
+            }
+        }
+    }
+    let mut counts: BTreeMap<(usize, u8, bool), u32> = BTreeMap::new();
+    for machine in &snapshot.machines[real..] {
+        *counts.entry((machine.kind, machine.zone, machine.spot)).or_default() += 1;
+    }
+    decisions.rent =
+        counts.into_iter().map(|((kind, zone, spot), n)| (kind, zone, spot, n)).collect();
+}
+
+fn bind_in_thought(snapshot: &mut Snapshot<'_>, at: usize, machine: usize) {
+    hold(snapshot, at, machine);
+    let zone = snapshot.machines[machine].zone;
+    snapshot.jobs[at].bound.push(super::BoundView {
+        task: u32::MAX,
+        machine: Some(machine),
+        zone,
+        stopping: false,
+        loss_s: 0.0,
+    });
+}
+
+/// The cheapest kind of machine that one more task may go to, in the zone
+/// with the fewest machines so far.
+fn choose(snapshot: &Snapshot<'_>, at: usize) -> Option<(usize, u8, bool)> {
+    let job = &snapshot.jobs[at];
+    let zones = Zones::of(job, |z| snapshot.settings.zone_index(z));
+    let mut best: Option<(f64, usize, (usize, u8, bool))> = None;
+    for (kind, t) in snapshot.types.iter().enumerate() {
+        for spot in [true, false] {
+            if !allows(&job.spec, t, spot) {
+                continue;
+            }
+            let price = if spot { t.spot_price } else { t.price };
+            let price = price * Resources::of_task(&job.spec).share_of(&Resources::of_type(t));
+            for zone in t.zones.iter().filter_map(|z| snapshot.settings.zone_index(z)) {
+                let key = (kind, zone, spot);
+                if snapshot.refused.contains(&key) || !zones.allow(zone) {
+                    continue;
+                }
+                let there = snapshot.machines.iter().filter(|m| m.zone == zone).count();
+                if best.is_none_or(|(p, n, _)| (price, there) < (p, n)) {
+                    best = Some((price, there, key));
+                }
+            }
+        }
+    }
+    best.map(|(_, _, key)| key)
+}
--- /dev/null
+++ b/src/scheduler/preemption.rs
@@ -0,0 +1,93 @@
+//! Room for work of higher priority: which running tasks are stopped for it.
+
+use crate::protocol::Shape;
+
+use super::{Decisions, Resources, Snapshot, placement::Zones, placement::allows};
+
+/// Makes room for `count` tasks of a job by stopping work of lower priority,
+/// the least lost work first. True if the tasks need no rented machine.
+pub fn make_room(
+    snapshot: &mut Snapshot<'_>,
+    at: usize,
+    count: usize,
+    decisions: &mut Decisions,
+) -> bool {
+    // Arrays wait for machines: stopping one task for another gains nothing.
+    if snapshot.jobs[at].spec.shape == Shape::Array {
+        return false;
+    }
+    for _ in 0..count {
+        let Some((machine, victims)) = cheapest(snapshot, at) else { return false };
+        let need = Resources::of_task(&snapshot.jobs[at].spec);
+        for (job, slot) in victims {
+            let spec = snapshot.jobs[job].spec.clone();
+            let bound = &mut snapshot.jobs[job].bound[slot];
+            bound.stopping = true;
+            decisions
+                .stop
+                .push((snapshot.jobs[job].id.clone(), snapshot.jobs[job].bound[slot].task));
+            snapshot.machines[machine].stopping.add(&Resources::of_task(&spec));
+        }
+        snapshot.machines[machine].stopping.sub(&need);
+        let zone = snapshot.machines[machine].zone;
+        snapshot.jobs[at].bound.push(super::BoundView {
+            task: u32::MAX,
+            machine: Some(machine),
+            zone,
+            stopping: true,
+            loss_s: 0.0,
+        });
+    }
+    true
+}
+
+/// A bound task: the job's place in the snapshot and the binding's in the job.
+type Victim = (usize, usize);
+
+/// The machine where one task finds room at the least loss, with the tasks
+/// (job, slot) to stop there: none if tasks already being stopped suffice.
+fn cheapest(snapshot: &Snapshot<'_>, at: usize) -> Option<(usize, Vec<Victim>)> {
+    let job = &snapshot.jobs[at];
+    let need = Resources::of_task(&job.spec);
+    let zones = Zones::of(job, |z| snapshot.settings.zone_index(z));
+    let mut best: Option<(f64, usize, Vec<Victim>)> = None;
+    for (m, machine) in snapshot.machines.iter().enumerate() {
+        if !machine.ready
+            || !zones.allow(machine.zone)
+            || !allows(&job.spec, &snapshot.types[machine.kind], machine.spot)
+            || job.avoid.contains(&machine.id)
+        {
+            continue;
+        }
+        let mut room = machine.free;
+        room.add(&machine.stopping);
+        let mut candidates: Vec<(f64, usize, usize)> = Vec::new();
+        for (j, other) in snapshot.jobs.iter().enumerate() {
+            // Only arrays: stopping a replica or a gang costs its whole job,
+            // and work that is dearer to stop waits for a rented machine.
+            if other.spec.priority >= job.spec.priority || other.spec.shape != Shape::Array {
+                continue;
+            }
+            for (slot, bound) in other.bound.iter().enumerate() {
+                if bound.machine == Some(m) && !bound.stopping && bound.task != u32::MAX {
+                    candidates.push((bound.loss_s, j, slot));
+                }
+            }
+        }
+        candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut victims = Vec::new();
+        let mut loss = 0.0;
+        for (lost, j, slot) in candidates {
+            if room.holds(&need) {
+                break;
+            }
+            room.add(&Resources::of_task(&snapshot.jobs[j].spec));
+            loss += lost;
+            victims.push((j, slot));
+        }
+        if room.holds(&need) && best.as_ref().is_none_or(|(l, _, _)| loss < *l) {
+            best = Some((loss, m, victims));
+        }
+    }
+    best.map(|(_, machine, victims)| (machine, victims))
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,319 @@
+//! The platform's settings (TOML), the operators' own (INI), and the figures
+//! derived from both.
+//!
+//! Everything is checked at the start: a controller that starts has settings
+//! it can work with.
+
+use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
+
+use serde::Deserialize;
+use thiserror::Error;
+
+/// One line that names the file, the field and the reason.
+#[derive(Debug, Error, PartialEq)]
+#[error("{file}: {field}: {reason}")]
+pub struct SettingsError {
+    pub file: String,
+    pub field: String,
+    pub reason: String,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    pub member: String,
+    pub zone: String,
+    pub public_addr: SocketAddr,
+    pub internal_addr: SocketAddr,
+    #[serde(default)]
+    pub members: Vec<Member>,
+    pub services: Services,
+    pub cluster: Cluster,
+    #[serde(skip)]
+    pub operator: Operator,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Member {
+    pub member: String,
+    pub endpoint: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Cluster {
+    pub size: u32,
+    pub zones: Vec<Arc<str>>,
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub quota: Quota,
+}
+
+/// A team's guarantee and limit. 0 means none: no guarantee, no limit.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Team {
+    pub name: Arc<str>,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+impl Team {
+    /// Whether so much in use stays within the team's limit.
+    pub fn allows(&self, cpus: f64, gpus: f64) -> bool {
+        within(cpus, self.cpus_max) && within(gpus, self.gpus_max)
+    }
+
+    /// Whether so much in use lies within the team's guarantee. A team
+    /// without any guarantee has nothing within it.
+    pub fn guarantees(&self, cpus: f64, gpus: f64) -> bool {
+        (self.cpus > 0.0 || self.gpus > 0.0) && within(cpus, self.cpus) && within(gpus, self.gpus)
+    }
+}
+
+/// Amounts are sums of decimal numbers, so equality needs a little slack.
+fn within(amount: f64, limit: f64) -> bool {
+    limit <= 0.0 || amount <= limit + 1e-6
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<Arc<str>>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Quota {
+    pub core_share: f64,
+    pub mem_mb: f64,
+    pub fd_limit: u32,
+}
+
+/// What operators may set for themselves, with the project's defaults.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Operator {
+    /// Seconds between two rounds of the autoscaler (the design's Δ).
+    pub round_s: f64,
+    /// A running width changes only for at least this share more in total.
+    pub resize_gain: f64,
+    /// A gang's factor at width k is k / (1 + slope (k - 1)).
+    pub gang_slope: f64,
+    /// Idle machines are returned after this share of their type's boot time.
+    pub idle_boots: f64,
+    /// Free whole machines kept ready, as a share of those in use.
+    pub headroom: f64,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Self { round_s: 10.0, resize_gain: 0.05, gang_slope: 0.1, idle_boots: 0.5, headroom: 0.0 }
+    }
+}
+
+impl Operator {
+    /// Reads the INI file; unknown sections and keys are mistakes here, since
+    /// an operator who mistypes a key would otherwise never learn of it.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let error = |field: &str, reason: &str| SettingsError {
+            file: file.into(),
+            field: field.into(),
+            reason: reason.into(),
+        };
+        let ini = ini::Ini::load_from_str(text).map_err(|e| error("syntax", &e.to_string()))?;
+        let mut operator = Self::default();
+        for (section, keys) in ini.iter() {
+            for (key, value) in keys.iter() {
+                let field = format!("{}.{key}", section.unwrap_or(""));
+                let slot = match field.as_str() {
+                    "scheduler.round_s" => &mut operator.round_s,
+                    "scheduler.resize_gain" => &mut operator.resize_gain,
+                    "scheduler.gang_slope" => &mut operator.gang_slope,
+                    "fleet.idle_boots" => &mut operator.idle_boots,
+                    "fleet.headroom" => &mut operator.headroom,
+                    _ => return Err(error(&field, "unknown key")),
+                };
+                *slot = value
+                    .parse::<f64>()
+                    .ok()
+                    .filter(|v| v.is_finite() && *v >= 0.0)
+                    .ok_or_else(|| error(&field, "must be a number of at least 0"))?;
+            }
+        }
+        if operator.round_s <= 0.0 {
+            return Err(error("scheduler.round_s", "must be more than 0"));
+        }
+        Ok(operator)
+    }
+}
+
+impl Settings {
+    pub fn load(path: &Path, operator: Option<&Path>) -> Result<Self, SettingsError> {
+        let read = |path: &Path| {
+            std::fs::read_to_string(path).map_err(|e| SettingsError {
+                file: path.display().to_string(),
+                field: "file".into(),
+                reason: e.to_string(),
+            })
+        };
+        let mut settings = Self::parse(&path.display().to_string(), &read(path)?)?;
+        if let Some(path) = operator {
+            settings.operator = Operator::parse(&path.display().to_string(), &read(path)?)?;
+        }
+        Ok(settings)
+    }
+
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let error = |field: &str, reason: &str| SettingsError {
+            file: file.into(),
+            field: field.into(),
+            // One line, whatever the library says.
+            reason: reason.split_whitespace().collect::<Vec<_>>().join(" "),
+        };
+        let deserializer =
+            toml::Deserializer::parse(text).map_err(|e| error("syntax", e.message()))?;
+        let settings: Self = serde_path_to_error::deserialize(deserializer)
+            .map_err(|e| error(&e.path().to_string(), e.inner().message()))?;
+        settings.check().map_err(|(field, reason)| error(field, reason))?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), (&'static str, &'static str)> {
+        let c = &self.cluster;
+        let positive = [
+            ("cluster.workers.report_s", c.workers.report_s),
+            ("cluster.workers.lease_s", c.workers.lease_s),
+            ("cluster.workers.gang_wait_s", c.workers.gang_wait_s),
+            ("cluster.workers.gang_peer_s", c.workers.gang_peer_s),
+            ("cluster.workers.cancel_s", c.workers.cancel_s),
+            ("cluster.state.rps", c.state.rps),
+            ("cluster.state.write_rps", c.state.write_rps),
+            ("cluster.state.value_kb", c.state.value_kb),
+            ("cluster.cloud.rps", c.cloud.rps),
+            ("cluster.quota.core_share", c.quota.core_share),
+            ("cluster.quota.mem_mb", c.quota.mem_mb),
+        ];
+        for (field, value) in positive {
+            if !value.is_finite() || value <= 0.0 {
+                return Err((field, "must be more than 0"));
+            }
+        }
+        if !c.cloud.list_lag_s.is_finite() || c.cloud.list_lag_s < 0.0 {
+            return Err(("cluster.cloud.list_lag_s", "must be at least 0"));
+        }
+        if self.member.is_empty() {
+            return Err(("member", "must not be empty"));
+        }
+        if self.members.iter().any(|m| m.member == self.member) {
+            return Err(("members", "must list the other controllers only"));
+        }
+        if c.size == 0 {
+            return Err(("cluster.size", "must be at least 1"));
+        }
+        if c.zones.is_empty() || c.zones.len() > usize::from(u8::MAX) {
+            return Err(("cluster.zones", "must name 1 to 255 zones"));
+        }
+        if c.state.txn_ops < 4 {
+            return Err(("cluster.state.txn_ops", "must be at least 4"));
+        }
+        if c.quota.fd_limit < 32 {
+            return Err(("cluster.quota.fd_limit", "must be at least 32"));
+        }
+        for team in &c.teams {
+            let amounts = [team.cpus, team.cpus_max, team.gpus, team.gpus_max];
+            if amounts.iter().any(|a| !a.is_finite() || *a < 0.0) {
+                return Err(("cluster.teams", "amounts must be at least 0"));
+            }
+        }
+        Ok(())
+    }
+
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.cluster.teams.iter().find(|t| &*t.name == name)
+    }
+
+    pub fn zone_index(&self, zone: &str) -> Option<u8> {
+        let at = self.cluster.zones.iter().position(|z| &**z == zone)?;
+        u8::try_from(at).ok()
+    }
+
+    pub fn report(&self) -> Duration {
+        Duration::from_secs_f64(self.cluster.workers.report_s)
+    }
+
+    /// A worker's lease, as long as it can last by this node's clock: steady
+    /// clocks drift apart, so a safe wait is a little longer than the lease.
+    pub fn worker_lease(&self) -> Duration {
+        Duration::from_secs_f64(self.cluster.workers.lease_s * 1.005)
+    }
+
+    /// Takeover (the rest of this lease, an election, a first report) must
+    /// fit well inside a worker's lease, so this is a third of it.
+    pub fn leader_lease(&self) -> Duration {
+        Duration::from_secs_f64(self.cluster.workers.lease_s / 3.0)
+    }
+
+    /// How long one call to the state service may take: three tries fit into
+    /// the leader's lease.
+    pub fn state_timeout(&self) -> Duration {
+        self.leader_lease() / 3
+    }
+
+    /// This node's fair share of a budget that all controllers live on. The
+    /// leader does most of the work, so it gets half.
+    pub fn share(&self, budget: f64, leads: bool) -> f64 {
+        if self.cluster.size == 1 {
+            budget
+        } else if leads {
+            budget / 2.0
+        } else {
+            budget / 2.0 / f64::from(self.cluster.size - 1)
+        }
+    }
+
+    /// Tasks per durable page, such that a page full of bindings fits a value.
+    pub fn page_tasks(&self) -> u32 {
+        const BINDING_BYTES: f64 = 64.0;
+        let tasks = self.cluster.state.value_kb * 1024.0 / BINDING_BYTES;
+        (tasks as u32).clamp(1, 1024)
+    }
+}
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,287 @@
+//! The durable records and the picture of them that every node keeps warm.
+//!
+//! All records share one prefix, so one watch gives one total order:
+//!
+//! | key | value | written by |
+//! | --- | --- | --- |
+//! | `sw/lead` | the leader, attached to its lease | a candidate |
+//! | `sw/token` | the last fencing token, never leased | a candidate |
+//! | `sw/types` | the machine types last seen | the leader |
+//! | `sw/j/{job}` | the job as submitted, never changed | any node |
+//! | `sw/p/{job}/{page}` | placements and progress of some tasks | the leader |
+//! | `sw/e/{job}` | how the job ended, created once, kept for ever | leader (done), any node (cancelled) |
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use crate::protocol::{
+    Event, Item, JobId, JobSpec, JobState, JobStatus, MachineId, MachineType, is_job_id,
+};
+
+pub const PREFIX: &str = "sw/";
+pub const LEAD: &str = "sw/lead";
+pub const TOKEN: &str = "sw/token";
+pub const TYPES: &str = "sw/types";
+
+pub fn job_key(id: &str) -> String {
+    format!("sw/j/{id}")
+}
+
+pub fn end_key(id: &str) -> String {
+    format!("sw/e/{id}")
+}
+
+pub fn page_key(id: &str, page: u32) -> String {
+    format!("sw/p/{id}/{page}")
+}
+
+/// Any value of ours as the state service takes it.
+pub fn value<T: Serialize>(value: &T) -> Result<Box<RawValue>, serde_json::Error> {
+    serde_json::value::to_raw_value(value)
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Lead {
+    pub member: String,
+    /// Drawn at each start, so that a node knows its former self from itself.
+    pub nonce: u64,
+    pub token: u64,
+    pub lease: u64,
+}
+
+/// A task that is bound to a machine: (task, attempt, machine, session, zone).
+pub type BoundTask = (u32, u64, MachineId, u64, u8);
+
+/// Placements and progress of the tasks of one page. Short names, because
+/// the page is what limits how many tasks fit a value.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Page {
+    /// The highest attempt number ever used here.
+    #[serde(rename = "a", default)]
+    pub attempt: u64,
+    /// Width granted by the last round (first page only).
+    #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+    pub width: Option<u32>,
+    #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    pub bound: Vec<BoundTask>,
+    /// Completed tasks as (first, how many).
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
+    pub done: Vec<(u32, u32)>,
+}
+
+impl Page {
+    pub fn done_count(&self) -> u32 {
+        self.done.iter().map(|(_, n)| n).sum()
+    }
+}
+
+/// How a job ended. The first record wins and is kept for ever.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct End {
+    #[serde(rename = "s")]
+    pub state: JobState,
+    #[serde(rename = "d")]
+    pub done: u32,
+}
+
+#[derive(Clone, Debug)]
+pub struct PageEntry {
+    pub version: u64,
+    pub raw: Box<RawValue>,
+    done: u32,
+    running: u32,
+}
+
+impl PageEntry {
+    pub fn new(version: u64, raw: Box<RawValue>) -> Self {
+        let (done, running) = match serde_json::from_str::<Page>(raw.get()) {
+            Ok(page) => (page.done_count(), page.bound.len() as u32),
+            Err(e) => {
+                tracing::error!(error = %e, "a page record can't be read");
+                (0, 0)
+            }
+        };
+        Self { version, raw, done, running }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct JobEntry {
+    /// The creation's revision: the order of arrival.
+    pub version: u64,
+    pub spec: Arc<JobSpec>,
+}
+
+/// What a change to the picture means to a leader.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    Arrived(JobId),
+    Ended(JobId),
+    Lead,
+}
+
+/// The replicated picture, as of `revision`.
+#[derive(Default)]
+pub struct Picture {
+    pub revision: u64,
+    pub loaded: bool,
+    pub lead: Option<(u64, Lead)>,
+    pub token: (u64, u64),
+    pub types: Option<(u64, Arc<Vec<MachineType>>)>,
+    pub jobs: HashMap<JobId, JobEntry>,
+    pub pages: HashMap<JobId, BTreeMap<u32, PageEntry>>,
+    pub ends: HashMap<JobId, End>,
+}
+
+impl Picture {
+    /// Takes a full reading in place of what is held. Returns what changed.
+    pub fn replace(&mut self, items: Vec<Item>, revision: u64) -> Vec<Change> {
+        // Ends are kept for ever, and rereading keeps what was known of them.
+        let old = std::mem::take(self);
+        let mut changes = vec![Change::Lead];
+        for item in items {
+            changes.extend(self.put(&item.key, item.value, item.version));
+        }
+        for id in old.jobs.keys().filter(|id| !self.jobs.contains_key(*id)) {
+            changes.push(Change::Ended(id.clone()));
+        }
+        self.revision = revision;
+        self.loaded = true;
+        changes
+    }
+
+    /// Applies what a watch brought. Changes already seen are passed over, so
+    /// several watches may bring the same ones.
+    pub fn apply(&mut self, events: Vec<Event>, revision: u64) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for event in events {
+            if event.version <= self.revision {
+                continue;
+            }
+            if let (Some(key), Some(value)) = (&event.put, event.value) {
+                changes.extend(self.put(key, value, event.version));
+            } else if let Some(key) = &event.delete {
+                changes.extend(self.delete(key, event.version));
+            }
+        }
+        self.revision = self.revision.max(revision);
+        changes
+    }
+
+    /// Takes in one record, unless a newer version is held already (a
+    /// committed write is noted at once, before the watch brings it).
+    pub fn put(&mut self, key: &str, raw: Box<RawValue>, version: u64) -> Option<Change> {
+        fn read<'a, T: Deserialize<'a>>(key: &str, raw: &'a RawValue) -> Option<T> {
+            serde_json::from_str(raw.get())
+                .inspect_err(|e| tracing::error!(key, error = %e, "a record can't be read"))
+                .ok()
+        }
+        match key {
+            LEAD => {
+                if self.lead.as_ref().is_some_and(|(v, _)| *v >= version) {
+                    return None;
+                }
+                self.lead = read(key, &raw).map(|lead| (version, lead));
+                Some(Change::Lead)
+            }
+            TOKEN => {
+                if version > self.token.0 {
+                    self.token = (version, read(key, &raw)?);
+                }
+                None
+            }
+            TYPES => {
+                if self.types.as_ref().is_none_or(|(v, _)| *v < version) {
+                    self.types = Some((version, Arc::new(read(key, &raw)?)));
+                }
+                None
+            }
+            _ => {
+                let (kind, name) = key.strip_prefix(PREFIX)?.split_once('/')?;
+                match kind {
+                    "j" if is_job_id(name) => {
+                        if self.jobs.contains_key(name) {
+                            return None;
+                        }
+                        let spec: JobSpec = read(key, &raw)?;
+                        let id = spec.id.clone();
+                        let entry = JobEntry { version, spec: Arc::new(spec) };
+                        self.jobs.insert(id.clone(), entry);
+                        Some(Change::Arrived(id))
+                    }
+                    "e" if is_job_id(name) => {
+                        let id: JobId = name.into();
+                        let end = read(key, &raw)?;
+                        self.ends.insert(id.clone(), end);
+                        Some(Change::Ended(id))
+                    }
+                    "p" => {
+                        let (name, page) = name.split_once('/')?;
+                        let page = page.parse().ok()?;
+                        let pages = self.pages.entry(name.into()).or_default();
+                        if pages.get(&page).is_none_or(|p| p.version < version) {
+                            pages.insert(page, PageEntry::new(version, raw));
+                        }
+                        None
+                    }
+                    _ => None,
+                }
+            }
+        }
+    }
+
+    pub fn delete(&mut self, key: &str, version: u64) -> Option<Change> {
+        if key == LEAD {
+            // Our own taking of the key may have been noted before the watch
+            // brings the end of the former one.
+            if self.lead.as_ref().is_some_and(|(v, _)| *v < version) {
+                self.lead = None;
+            }
+            return Some(Change::Lead);
+        }
+        let (kind, name) = key.strip_prefix(PREFIX)?.split_once('/')?;
+        match kind {
+            "j" if self.jobs.get(name).is_some_and(|j| j.version < version) => {
+                self.jobs.remove(name);
+            }
+            "p" => {
+                let (name, page) = name.split_once('/')?;
+                let page: u32 = page.parse().ok()?;
+                let pages = self.pages.get_mut(name)?;
+                if pages.get(&page).is_some_and(|p| p.version < version) {
+                    pages.remove(&page);
+                }
+                if pages.is_empty() {
+                    self.pages.remove(name);
+                }
+            }
+            _ => {}
+        }
+        None
+    }
+
+    /// A job's state as this picture has it, or none for one never accepted.
+    pub fn status(&self, id: &str) -> Option<JobStatus> {
+        if let Some((id, end)) = self.ends.get_key_value(id) {
+            return Some(JobStatus {
+                id: id.clone(),
+                state: end.state,
+                done: end.done,
+                running: 0,
+            });
+        }
+        let (id, _) = self.jobs.get_key_value(id)?;
+        let (mut done, mut running) = (0, 0);
+        for page in self.pages.get(id).into_iter().flat_map(BTreeMap::values) {
+            done += page.done;
+            running += page.running;
+        }
+        let state = if running > 0 { JobState::Running } else { JobState::Pending };
+        Some(JobStatus { id: id.clone(), state, done, running })
+    }
+}
