--- a/src/controller.rs
+++ b/src/controller.rs
@@ -93,8 +93,11 @@
 
     /// The lowest tasks that could start, up to `limit`.
     fn pending(&self, limit: usize) -> Vec<u32> {
-        let fresh = (self.next..self.spec.tasks)
-            .filter(|t| !self.done.contains(t) && !self.bound.contains_key(t));
+        // A returned task may lie beyond `next`, and named twice it would be
+        // placed twice.
+        let fresh = (self.next..self.spec.tasks).filter(|t| {
+            !self.done.contains(t) && !self.bound.contains_key(t) && !self.returned.contains(t)
+        });
         self.returned.iter().copied().chain(fresh).take(limit).collect()
     }
 
@@ -741,7 +744,7 @@
                 self.dirty.insert((id, 0));
             }
         }
-        self.bind(decisions.place, now);
+        self.bind(decisions.place);
         for key in decisions.stop {
             info!(job = %key.0, task = key.1, "stopped for work of higher priority");
             self.stop(&key, now);
@@ -829,10 +832,14 @@
         }
     }
 
-    fn bind(&mut self, places: Vec<(JobId, u32, MachineId)>, now: Instant) {
+    fn bind(&mut self, places: Vec<(JobId, u32, MachineId)>) {
         let mut raised: Option<JobId> = None;
         for (id, task, machine_id) in places {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
+            // Whatever was decided, a bound task is never bound again.
+            if job.bound.contains_key(&task) || job.done.contains(&task) {
+                continue;
+            }
             let Some(machine) = self.fleet.machines.get_mut(&machine_id) else { continue };
             let Some(zone) = self.settings.zone_index(&machine.zone) else { continue };
             // All tasks of a gang's attempt share its number; elsewhere a
@@ -866,7 +873,6 @@
             machine.idle_since = None;
             machine.images.retain(|i| *i != job.spec.image);
             machine.images.push(job.spec.image.clone());
-            let _ = now;
             self.dirty.insert((id, task / self.settings.page_tasks()));
         }
     }
