--- a/src/admission_limit.rs
+++ b/src/admission_limit.rs
@@ -46,7 +46,7 @@
     /// A permit for one request, or none: refuse it now.
     pub fn enter(self: &Arc<Self>) -> Option<Permit> {
         let mut inner = lock(&self.inner);
-        if inner.in_progress as f64 >= inner.limit {
+        if inner.in_progress >= inner.limit as usize {
             return None;
         }
         inner.in_progress += 1;
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -309,7 +309,8 @@
             return Err(Deposed);
         }
         let was_ready = self.is_ready(&report.machine, now);
-        match self.fleet.note_report(report, self.token, now) {
+        let lease = self.settings.worker_lease();
+        match self.fleet.note_report(report, self.token, lease, now) {
             Freshness::Stale => return Ok(Vec::new()),
             Freshness::NewSession => self.lose_sessions(&report.machine, report.session, now),
             Freshness::Newer => {}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -138,7 +138,13 @@
 
 impl Fleet {
     /// Notes a report and tells how new it is.
-    pub fn note_report(&mut self, report: &Report, token: u64, now: Instant) -> Freshness {
+    pub fn note_report(
+        &mut self,
+        report: &Report,
+        token: u64,
+        lease: Duration,
+        now: Instant,
+    ) -> Freshness {
         if self.gone.contains_key(&report.machine) {
             return Freshness::Stale;
         }
@@ -151,6 +157,12 @@
             return Freshness::Stale;
         }
         let new_session = report.session > machine.seen.0;
+        if new_session && machine.mine && machine.silence(now) < lease * 3 / 4 {
+            // Its lease ran out although its reports were answered: the
+            // answers do not reach it, and neither would orders.
+            machine.deaf += 1;
+            machine.shunned_until = Some(now + lease * machine.deaf);
+        }
         if machine.answered.is_none() {
             // The list may have guessed; the machine itself knows.
             machine.machine_type = report.machine_type.clone();
@@ -221,7 +233,10 @@
             let boot = Duration::from_secs_f64(boot_s(&machine.machine_type));
             let reason = if machine.listed == Some(MachineState::Failed) && silence > lease {
                 "it failed"
-            } else if !machine.heard() && machine.listed != Some(MachineState::Running) {
+            } else if !machine.heard()
+                && machine.listed != Some(MachineState::Running)
+                && machine.bound.is_empty()
+            {
                 // Some take several times as long to boot; a few never do.
                 if silence <= boot * 4 || silence <= lease * 2 {
                     continue;
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,734 @@
+//! Stand-ins in memory for the state service, the cloud, the workers and the
+//! network between them, under paused time.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use futures_util::future::BoxFuture;
+use hyper::StatusCode;
+use serde_json::{json, value::RawValue};
+use stonewheel::{
+    cloud::{CloudApi, CloudError},
+    http::client::CallError,
+    node::{Node, ReportReply, UserReply},
+    protocol::{
+        Cause, Condition, Event, Events, Item, ItemPage, JobState, ListedMachine, MachineId,
+        MachineList, MachineState, MachineType, Op, Order, Rental, Report, TaskReport, TaskState,
+        Transaction, Write,
+    },
+    settings::Settings,
+    state::{StateApi, StateError},
+};
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+pub const SETTINGS: &str = r#"
+member = "m-0"
+zone = "a"
+public_addr = "127.0.0.1:1"
+internal_addr = "127.0.0.1:2"
+[services]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[cluster]
+size = 3
+zones = ["a", "b"]
+time_bound_ms = 1000.0
+[[cluster.teams]]
+name = "red"
+gpus = 8.0
+gpus_max = 16.0
+[[cluster.teams]]
+name = "blue"
+[cluster.workers]
+report_s = 1.0
+lease_s = 11.0
+gang_wait_s = 40.0
+gang_peer_s = 8.0
+cancel_s = 36.0
+[cluster.state]
+rps = 150.0
+write_rps = 60.0
+value_kb = 8.0
+txn_ops = 24
+[cluster.cloud]
+rps = 8.0
+list_lag_s = 3.0
+[cluster.quota]
+core_share = 0.08
+mem_mb = 40.0
+fd_limit = 600
+"#;
+
+pub fn settings(member: &str) -> Settings {
+    Settings::parse("test.toml", &SETTINGS.replace("m-0", member)).expect("valid settings")
+}
+
+pub fn machine_type() -> MachineType {
+    MachineType {
+        name: "g8".into(),
+        cpus: 64.0,
+        gpus: 8.0,
+        memory_gb: 256.0,
+        cache_gb: 800.0,
+        fetch_gb_per_s: 2.0,
+        price: 20.0,
+        spot_price: 6.0,
+        boot_s: 20.0,
+        zones: vec!["a".into(), "b".into()],
+    }
+}
+
+/// A submission with the given fields in place of the usual ones.
+pub fn job(id: &str, changes: serde_json::Value) -> Vec<u8> {
+    let mut job = json!({
+        "Ref": id, "Grain": "train", "Crew": "blue", "Shape": "batch", "Rank": "standard",
+        "Spokes": 2, "Cores": 4.0, "Gpus": 1.0, "MemoryGb": 8.0, "Mould": "img", "ImageGb": 1.0,
+        "Frames": null, "Yard": null, "Together": false, "Scatter": false, "Driftwood": false,
+        "ReckonS": 20.0, "NotchS": 0.0, "StashS": 0.0, "DueS": null
+    });
+    for (key, value) in changes.as_object().expect("an object") {
+        job[key] = value.clone();
+    }
+    serde_json::to_vec(&job).expect("json")
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().expect("not poisoned")
+}
+
+// State service.
+
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    kv: BTreeMap<String, (Box<RawValue>, u64, Option<u64>)>,
+    log: Vec<(u64, String, Option<Box<RawValue>>)>,
+    leases: HashMap<u64, (Duration, Instant)>,
+    next_lease: u64,
+    outage: bool,
+    refused: HashSet<String>,
+    /// Transactions of these clients are held back and answered by nobody.
+    held_clients: HashSet<String>,
+    held: Vec<Transaction>,
+    /// How many transactions to carry out without an answer, by client.
+    mute: HashMap<String, u32>,
+}
+
+impl Store {
+    fn expire(&mut self) {
+        let now = Instant::now();
+        if self.outage {
+            return;
+        }
+        let over: Vec<u64> =
+            self.leases.iter().filter(|(_, (_, at))| *at <= now).map(|(id, _)| *id).collect();
+        for lease in over {
+            self.end_lease(lease);
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let keys: Vec<String> = self
+            .kv
+            .iter()
+            .filter(|(_, (_, _, l))| *l == Some(lease))
+            .map(|(k, _)| k.clone())
+            .collect();
+        for key in keys {
+            self.revision += 1;
+            self.kv.remove(&key);
+            self.log.push((self.revision, key, None));
+        }
+    }
+
+    fn multi(&mut self, txn: &Transaction) -> Result<u64, StateError> {
+        let version = |key: &String| self.kv.get(key).map_or(0, |(_, v, _)| *v);
+        let failed: Vec<String> = txn
+            .conditions
+            .iter()
+            .filter(|c| version(&c.key) != c.version)
+            .map(|c| c.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return Err(StateError::Conflict(failed));
+        }
+        self.revision += 1;
+        for write in &txn.writes {
+            match write {
+                Write::Put { key, value, lease } => {
+                    assert!(lease.is_none_or(|l| self.leases.contains_key(&l)), "lease ended");
+                    assert!(value.get().len() <= 8 * 1024, "value too large");
+                    self.kv.insert(key.clone(), (value.clone(), self.revision, *lease));
+                    self.log.push((self.revision, key.clone(), Some(value.clone())));
+                }
+                Write::Delete { key } => {
+                    if self.kv.remove(key).is_some() {
+                        self.log.push((self.revision, key.clone(), None));
+                    }
+                }
+            }
+        }
+        Ok(self.revision)
+    }
+}
+
+#[derive(Clone, Default)]
+pub struct MemState(Arc<Mutex<Store>>);
+
+impl MemState {
+    pub fn client(&self, name: &str) -> Arc<dyn StateApi> {
+        Arc::new(MemClient { store: self.clone(), name: name.into() })
+    }
+
+    /// In an outage leases stand still; afterwards each has its full time.
+    pub fn set_outage(&self, on: bool) {
+        let mut store = lock(&self.0);
+        store.expire();
+        store.outage = on;
+        let now = Instant::now();
+        for (ttl, at) in store.leases.values_mut() {
+            *at = now + *ttl;
+        }
+    }
+
+    pub fn refuse(&self, client: &str, on: bool) {
+        let mut store = lock(&self.0);
+        if on {
+            store.refused.insert(client.into());
+        } else {
+            store.refused.remove(client);
+        }
+    }
+
+    pub fn hold(&self, client: &str) {
+        lock(&self.0).held_clients.insert(client.into());
+    }
+
+    /// Delivers what was held back, and tells how each ended.
+    pub fn deliver_held(&self) -> Vec<Result<u64, StateError>> {
+        let mut store = lock(&self.0);
+        store.expire();
+        store.held_clients.clear();
+        let held = std::mem::take(&mut store.held);
+        held.iter().map(|txn| store.multi(txn)).collect()
+    }
+
+    pub fn held_count(&self) -> usize {
+        lock(&self.0).held.len()
+    }
+
+    /// The client's next transactions are carried out, but not answered.
+    pub fn mute(&self, client: &str, count: u32) {
+        lock(&self.0).mute.insert(client.into(), count);
+    }
+
+    pub fn value(&self, key: &str) -> Option<String> {
+        lock(&self.0).kv.get(key).map(|(v, ..)| v.get().to_owned())
+    }
+
+    pub fn version(&self, key: &str) -> u64 {
+        lock(&self.0).kv.get(key).map_or(0, |(_, v, _)| *v)
+    }
+
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        lock(&self.0).kv.keys().filter(|k| k.starts_with(prefix)).cloned().collect()
+    }
+
+    pub fn commit(
+        &self,
+        conditions: Vec<Condition>,
+        writes: Vec<Write>,
+    ) -> Result<u64, StateError> {
+        lock(&self.0).multi(&Transaction { conditions, writes })
+    }
+}
+
+struct MemClient {
+    store: MemState,
+    name: String,
+}
+
+impl MemClient {
+    fn open(&self) -> Result<std::sync::MutexGuard<'_, Store>, StateError> {
+        let mut store = lock(&self.store.0);
+        store.expire();
+        if store.outage || store.refused.contains(&self.name) {
+            return Err(StateError::Refused(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        Ok(store)
+    }
+}
+
+const LATENCY: Duration = Duration::from_millis(3);
+
+impl StateApi for MemClient {
+    fn list(&self, prefix: &str, since: &str) -> BoxFuture<'_, Result<ItemPage, StateError>> {
+        let (prefix, since) = (prefix.to_owned(), since.to_owned());
+        Box::pin(async move {
+            sleep(LATENCY).await;
+            let store = self.open()?;
+            let mut items: Vec<Item> = store
+                .kv
+                .iter()
+                .filter(|(k, _)| k.starts_with(&prefix) && **k > since)
+                .take(51)
+                .map(|(k, (v, version, _))| Item {
+                    key: k.clone(),
+                    value: v.clone(),
+                    version: *version,
+                })
+                .collect();
+            let more = items.len() > 50;
+            items.truncate(50);
+            Ok(ItemPage { items, more, revision: store.revision })
+        })
+    }
+
+    fn multi(&self, txn: &Transaction) -> BoxFuture<'_, Result<u64, StateError>> {
+        let txn = txn.clone();
+        Box::pin(async move {
+            sleep(LATENCY).await;
+            let silent = {
+                let mut store = self.open()?;
+                if store.held_clients.contains(&self.name) {
+                    store.held.push(txn);
+                    true
+                } else {
+                    let result = store.multi(&txn);
+                    let mute = store.mute.entry(self.name.clone()).or_default();
+                    if *mute == 0 {
+                        return result;
+                    }
+                    *mute -= 1;
+                    true
+                }
+            };
+            assert!(silent);
+            sleep(Duration::from_secs(1)).await;
+            Err(StateError::Unsure(CallError::Timeout))
+        })
+    }
+
+    fn lease(&self, ttl: Duration) -> BoxFuture<'_, Result<u64, StateError>> {
+        Box::pin(async move {
+            sleep(LATENCY).await;
+            let mut store = self.open()?;
+            store.next_lease += 1;
+            let id = store.next_lease;
+            store.leases.insert(id, (ttl, Instant::now() + ttl));
+            Ok(id)
+        })
+    }
+
+    fn touch(&self, lease: u64) -> BoxFuture<'_, Result<(), StateError>> {
+        Box::pin(async move {
+            sleep(LATENCY).await;
+            let mut store = self.open()?;
+            let (ttl, at) = store.leases.get_mut(&lease).ok_or(StateError::NoLease)?;
+            *at = Instant::now() + *ttl;
+            Ok(())
+        })
+    }
+
+    fn drop_lease(&self, lease: u64) -> BoxFuture<'_, Result<(), StateError>> {
+        Box::pin(async move {
+            sleep(LATENCY).await;
+            self.open()?.end_lease(lease);
+            Ok(())
+        })
+    }
+
+    fn follow(
+        &self,
+        prefix: &str,
+        since: u64,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Events, StateError>> {
+        let prefix = prefix.to_owned();
+        Box::pin(async move {
+            sleep(LATENCY).await;
+            let until = Instant::now() + wait;
+            if wait.is_zero() {
+                drop(self.open()?);
+            }
+            loop {
+                if let Ok(store) = self.open() {
+                    let events: Vec<Event> = store
+                        .log
+                        .iter()
+                        .filter(|(r, k, _)| *r > since && k.starts_with(&prefix))
+                        .map(|(revision, key, value)| Event {
+                            put: value.is_some().then(|| key.clone()),
+                            delete: value.is_none().then(|| key.clone()),
+                            value: value.clone(),
+                            version: *revision,
+                        })
+                        .collect();
+                    if !events.is_empty() || Instant::now() >= until {
+                        return Ok(Events { revision: store.revision, events });
+                    }
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+        })
+    }
+}
+
+// Cloud and workers.
+
+#[derive(Clone, Debug)]
+struct OnMachine {
+    attempt: u64,
+    state: TaskState,
+    cause: Option<Cause>,
+    since: Instant,
+}
+
+struct Worker {
+    zone: Arc<str>,
+    spot: bool,
+    session: u64,
+    seq: u64,
+    token: u64,
+    /// When the last answered report was sent.
+    leased: Instant,
+    tasks: BTreeMap<String, OnMachine>,
+    /// The nodes that it can't reach.
+    cut_from: BTreeSet<usize>,
+    /// Answers to its reports are lost.
+    deaf: bool,
+    fails: bool,
+}
+
+#[derive(Default)]
+struct Site {
+    nodes: Vec<Option<(Arc<Node>, CancellationToken)>>,
+    workers: BTreeMap<MachineId, Worker>,
+    rented: HashMap<String, Vec<MachineId>>,
+    next: u32,
+    broken: Vec<String>,
+    starts: u32,
+    /// How long a task runs; services never end.
+    run: HashMap<String, Duration>,
+}
+
+/// A whole deployment in memory.
+#[derive(Clone, Default)]
+pub struct World {
+    pub state: MemState,
+    site: Arc<Mutex<Site>>,
+}
+
+impl CloudApi for World {
+    fn machine_types(&self) -> BoxFuture<'_, Result<Vec<MachineType>, CloudError>> {
+        Box::pin(async { Ok(vec![machine_type()]) })
+    }
+
+    fn rent(&self, rental: Rental) -> BoxFuture<'_, Result<Vec<MachineId>, CloudError>> {
+        Box::pin(async move {
+            sleep(Duration::from_millis(100)).await;
+            let mut site = lock(&self.site);
+            if let Some(names) = site.rented.get(&rental.request) {
+                return Ok(names.clone());
+            }
+            let mut names = Vec::new();
+            for _ in 0..rental.count {
+                site.next += 1;
+                let name: MachineId = format!("n-{:06}", site.next).into();
+                names.push(name.clone());
+                self.boot(name, rental.zone.clone(), rental.spot, Duration::from_secs(20));
+            }
+            site.rented.insert(rental.request, names.clone());
+            Ok(names)
+        })
+    }
+
+    fn delete(&self, machines: Vec<MachineId>) -> BoxFuture<'_, Result<(), CloudError>> {
+        Box::pin(async move {
+            sleep(Duration::from_millis(100)).await;
+            let mut site = lock(&self.site);
+            for machine in machines {
+                site.workers.remove(&machine);
+            }
+            Ok(())
+        })
+    }
+
+    fn list(&self, since: &str) -> BoxFuture<'_, Result<MachineList, CloudError>> {
+        let since = since.to_owned();
+        Box::pin(async move {
+            let site = lock(&self.site);
+            let machines = site
+                .workers
+                .iter()
+                .filter(|(id, _)| ***id > *since)
+                .map(|(id, w)| ListedMachine {
+                    id: id.clone(),
+                    machine_type: "g8".into(),
+                    zone: w.zone.clone(),
+                    spot: w.spot,
+                    state: MachineState::Running,
+                    age_s: 0.0,
+                })
+                .collect();
+            Ok(MachineList { machines, more: false })
+        })
+    }
+}
+
+impl World {
+    /// Three controllers and some ordinary machines in zone `a`.
+    pub async fn new(machines: u32) -> Self {
+        let world = Self::default();
+        lock(&world.site).nodes = vec![None, None, None];
+        for node in 0..3 {
+            world.start_node(node);
+        }
+        for _ in 0..machines {
+            let name: MachineId = {
+                let mut site = lock(&world.site);
+                site.next += 1;
+                format!("n-{:06}", site.next).into()
+            };
+            world.boot(name, "a".into(), false, Duration::ZERO);
+        }
+        world
+            .until("a leader knows the machine types", || {
+                world.leader().is_some() && world.state.value("sw/types").is_some()
+            })
+            .await;
+        // The watch brings them to every node.
+        sleep(Duration::from_secs(1)).await;
+        world
+    }
+
+    pub fn start_node(&self, at: usize) {
+        let name = format!("m-{at}");
+        let stop = CancellationToken::new();
+        let node = Node::new(settings(&name), self.state.client(&name), Arc::new(self.clone()));
+        node.spawn_duties(&stop).close();
+        lock(&self.site).nodes[at] = Some((node, stop));
+    }
+
+    /// Ends a node without any farewell.
+    pub fn kill_node(&self, at: usize) {
+        if let Some((_, stop)) = lock(&self.site).nodes[at].take() {
+            stop.cancel();
+        }
+        self.state.refuse(&format!("m-{at}"), false);
+    }
+
+    pub fn node(&self, at: usize) -> Arc<Node> {
+        lock(&self.site).nodes[at].as_ref().expect("the node runs").0.clone()
+    }
+
+    /// Who leads, as the state service has it.
+    pub fn leader(&self) -> Option<usize> {
+        let lead: serde_json::Value = serde_json::from_str(&self.state.value("sw/lead")?).ok()?;
+        lead["member"].as_str()?.strip_prefix("m-")?.parse().ok()
+    }
+
+    pub async fn until(&self, what: &str, mut holds: impl FnMut() -> bool) {
+        let limit = Instant::now() + Duration::from_secs(240);
+        while !holds() {
+            assert!(Instant::now() < limit, "never came true: {what}");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    pub async fn until_state(&self, node: usize, id: &str, state: JobState) {
+        let limit = Instant::now() + Duration::from_secs(240);
+        loop {
+            if let Ok(UserReply::Known(status)) = self.node(node).status(id).await
+                && status.state == state
+            {
+                return;
+            }
+            assert!(Instant::now() < limit, "{id} never became {state:?}");
+            sleep(Duration::from_millis(500)).await;
+        }
+    }
+
+    /// Rules broken so far.
+    pub fn broken(&self) -> Vec<String> {
+        lock(&self.site).broken.clone()
+    }
+
+    pub fn starts(&self) -> u32 {
+        lock(&self.site).starts
+    }
+
+    /// How long each task of a job runs.
+    pub fn runs_for(&self, job: &str, seconds: u64) {
+        lock(&self.site).run.insert(job.into(), Duration::from_secs(seconds));
+    }
+
+    /// Machines that hold a task of a job.
+    pub fn machines_of(&self, job: &str) -> Vec<MachineId> {
+        let prefix = format!("{job}/");
+        lock(&self.site)
+            .workers
+            .iter()
+            .filter(|(_, w)| {
+                w.tasks.iter().any(|(t, o)| t.starts_with(&prefix) && o.state != TaskState::Exited)
+            })
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    pub fn cut(&self, machine: &str, nodes: &[usize]) {
+        let mut site = lock(&self.site);
+        let worker = site.workers.get_mut(machine).expect("known machine");
+        worker.cut_from = nodes.iter().copied().collect();
+    }
+
+    pub fn set_deaf(&self, machine: &str, deaf: bool) {
+        lock(&self.site).workers.get_mut(machine).expect("known machine").deaf = deaf;
+    }
+
+    pub fn set_failing(&self, machine: &str) {
+        lock(&self.site).workers.get_mut(machine).expect("known machine").fails = true;
+    }
+
+    fn boot(&self, name: MachineId, zone: Arc<str>, spot: bool, after: Duration) {
+        let world = self.clone();
+        tokio::spawn(async move {
+            sleep(after).await;
+            let worker = Worker {
+                zone,
+                spot,
+                session: 1,
+                seq: 0,
+                token: 0,
+                leased: Instant::now(),
+                tasks: BTreeMap::new(),
+                cut_from: BTreeSet::new(),
+                deaf: false,
+                fails: false,
+            };
+            lock(&world.site).workers.insert(name.clone(), worker);
+            world.work(&name).await;
+        });
+    }
+
+    /// A worker's life: reports, lease, orders.
+    async fn work(&self, name: &MachineId) {
+        let mut at = 0;
+        loop {
+            sleep(Duration::from_millis(950)).await;
+            let sent = Instant::now();
+            let Some((report, cut, deaf)) = self.next_report(name) else { return };
+            let node = lock(&self.site).nodes[at].as_ref().map(|(n, _)| n.clone());
+            let reply = if cut.contains(&at) { None } else { node.map(|n| n.report(&report)) };
+            match reply.filter(|_| !deaf) {
+                Some(ReportReply::Orders { token, orders }) => {
+                    let mut site = lock(&self.site);
+                    let Some(worker) = site.workers.get_mut(name) else { return };
+                    if token < worker.token {
+                        continue;
+                    }
+                    (worker.token, worker.leased) = (token, sent);
+                    for order in orders {
+                        site.carry_out(name, order);
+                    }
+                }
+                Some(ReportReply::Elsewhere(to)) => {
+                    let known = to.and_then(|m| m.strip_prefix("m-")?.parse::<usize>().ok());
+                    at = known.filter(|to| *to != at).unwrap_or((at + 1) % 3);
+                }
+                None => {
+                    sleep(Duration::from_secs(1)).await;
+                    at = (at + 1) % 3;
+                }
+            }
+        }
+    }
+
+    fn next_report(&self, name: &MachineId) -> Option<(Report, BTreeSet<usize>, bool)> {
+        let mut site = lock(&self.site);
+        let now = Instant::now();
+        let run = site.run.clone();
+        let worker = site.workers.get_mut(name)?;
+        if worker.leased.elapsed() > Duration::from_secs(11) {
+            worker.tasks.clear();
+            worker.session += 1;
+            worker.leased = now;
+        }
+        for (task, on) in &mut worker.tasks {
+            let job = task.split('/').next().unwrap_or_default();
+            let age = now - on.since;
+            if on.state == TaskState::Running && worker.fails {
+                (on.state, on.cause) = (TaskState::Exited, Some(Cause::Error));
+            } else if on.state == TaskState::Running && run.get(job).is_some_and(|r| age >= *r) {
+                (on.state, on.cause) = (TaskState::Exited, Some(Cause::Done));
+            }
+        }
+        worker.seq += 1;
+        let tasks = worker
+            .tasks
+            .iter()
+            .map(|(task, on)| TaskReport {
+                task: task.clone(),
+                attempt: on.attempt,
+                state: on.state,
+                cause: on.cause,
+                saved: None,
+            })
+            .collect();
+        let report = Report {
+            machine: name.clone(),
+            addr: String::new(),
+            machine_type: "g8".into(),
+            zone: worker.zone.clone(),
+            spot: worker.spot,
+            session: worker.session,
+            seq: worker.seq,
+            token: worker.token,
+            notice_s: None,
+            tasks,
+        };
+        Some((report, worker.cut_from.clone(), worker.deaf))
+    }
+}
+
+impl Site {
+    fn carry_out(&mut self, name: &MachineId, order: Order) {
+        let elsewhere = self.workers.iter().any(|(id, w)| {
+            id != name && w.tasks.get(&order.task).is_some_and(|o| o.state != TaskState::Exited)
+        });
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        match order.op {
+            Op::Start => {
+                if worker.tasks.get(&order.task).is_some_and(|o| o.attempt >= order.attempt) {
+                    return;
+                }
+                if elsewhere {
+                    self.broken.push(format!("ran_twice: {} on {name}", order.task));
+                }
+                self.starts += 1;
+                let on = OnMachine {
+                    attempt: order.attempt,
+                    state: TaskState::Running,
+                    cause: None,
+                    since: Instant::now(),
+                };
+                worker.tasks.insert(order.task, on);
+            }
+            Op::Stop => {
+                if let Some(on) = worker.tasks.get_mut(&order.task)
+                    && on.state != TaskState::Exited
+                {
+                    (on.state, on.cause) = (TaskState::Exited, Some(Cause::Stopped));
+                }
+            }
+            Op::Forget => {
+                worker.tasks.remove(&order.task);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/leader.rs
@@ -0,0 +1,413 @@
+//! Stories of the leader's duty alone: reports and records in, orders and
+//! writes out, with no network between.
+
+#[allow(dead_code)]
+mod common;
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use common::{job, machine_type, settings};
+use serde_json::json;
+use stonewheel::{
+    controller::{Commit, CommitKind, Leader},
+    protocol::{Cause, JobSpec, Op, Order, Report, TaskReport, TaskState, Write},
+    store::{self, Change, Page, Picture},
+};
+use tokio::time::Instant;
+
+struct Duty {
+    picture: Picture,
+    leader: Leader,
+    revision: u64,
+    now: Instant,
+    seqs: BTreeMap<String, u64>,
+}
+
+impl Duty {
+    fn new(token: u64) -> Self {
+        let mut picture = Picture { loaded: true, ..Picture::default() };
+        picture.types = Some((1, Arc::new(vec![machine_type()])));
+        Self::over(picture, token)
+    }
+
+    fn over(picture: Picture, token: u64) -> Self {
+        let now = Instant::now();
+        let mut settings = settings("m-0");
+        // Returning idle machines is no part of these stories.
+        settings.operator.idle_boots = 1e3;
+        let leader = Leader::new(Arc::new(settings), 1, token, &picture, now);
+        Self { picture, leader, revision: 100, now, seqs: BTreeMap::new() }
+    }
+
+    /// The next leader, over the records that this one left.
+    fn succeed(self, token: u64) -> Self {
+        Self { seqs: self.seqs, revision: self.revision, ..Self::over(self.picture, token) }
+    }
+
+    fn submit(&mut self, id: &str, changes: serde_json::Value) {
+        let spec = JobSpec::parse(&job(id, changes)).expect("valid");
+        self.revision += 1;
+        let value = store::value(&spec).expect("json");
+        let change = self.picture.put(&store::job_key(id), value, self.revision).expect("news");
+        self.leader.on_changes(&[change], &self.picture, self.now);
+    }
+
+    fn cancel(&mut self, id: &str) {
+        self.revision += 1;
+        let end = json!({"s": "aborted", "d": 0});
+        let value = store::value(&end).expect("json");
+        let change = self.picture.put(&store::end_key(id), value, self.revision).expect("news");
+        assert!(matches!(change, Change::Ended(_)));
+        self.leader.on_changes(&[change], &self.picture, self.now);
+    }
+
+    fn pass(&mut self, seconds: f64) {
+        self.now += Duration::from_secs_f64(seconds);
+        self.leader.tick(self.now, false);
+    }
+
+    fn commits(&mut self) -> Vec<Commit> {
+        self.leader.take_commits(&self.picture)
+    }
+
+    fn commit(&mut self, commits: Vec<Commit>) {
+        for commit in commits {
+            self.revision += 1;
+            for write in &commit.writes {
+                match write {
+                    Write::Put { key, value, .. } => {
+                        self.picture.put(key, value.clone(), self.revision);
+                    }
+                    Write::Delete { key } => {
+                        self.picture.delete(key, self.revision);
+                    }
+                }
+            }
+            self.leader.committed(&commit.kind, &self.picture, self.now);
+        }
+    }
+
+    /// Time passes and all that is due is committed.
+    fn settle(&mut self) {
+        for _ in 0..4 {
+            self.pass(0.1);
+            let commits = self.commits();
+            self.commit(commits);
+        }
+    }
+
+    fn report_at(
+        &mut self,
+        machine: &str,
+        seq: u64,
+        session: u64,
+        tasks: &[TaskReport],
+    ) -> Vec<Order> {
+        let zone = if machine.starts_with("b-") { "b" } else { "a" };
+        let report = Report {
+            machine: machine.into(),
+            addr: String::new(),
+            machine_type: "g8".into(),
+            zone: zone.into(),
+            spot: false,
+            session,
+            seq,
+            token: self.leader.token,
+            notice_s: None,
+            tasks: tasks.to_vec(),
+        };
+        self.leader.on_report(&report, self.now).expect("no higher token")
+    }
+
+    fn report(&mut self, machine: &str, session: u64, tasks: &[TaskReport]) -> Vec<Order> {
+        let seq = self.seqs.entry(machine.into()).or_default();
+        *seq += 1;
+        let seq = *seq;
+        self.report_at(machine, seq, session, tasks)
+    }
+
+    fn page(&self, id: &str) -> Page {
+        self.picture
+            .pages
+            .get(id)
+            .and_then(|p| p.get(&0))
+            .and_then(|p| serde_json::from_str(p.raw.get()).ok())
+            .unwrap_or_default()
+    }
+
+    /// The machines that a job's tasks are bound to, by the records.
+    fn bound(&self, id: &str) -> Vec<(u32, String)> {
+        self.page(id).bound.iter().map(|(t, _, m, ..)| (*t, m.to_string())).collect()
+    }
+}
+
+fn running(order: &Order) -> TaskReport {
+    exited_with(order, TaskState::Running, None)
+}
+
+fn exited(order: &Order, cause: Cause) -> TaskReport {
+    exited_with(order, TaskState::Exited, Some(cause))
+}
+
+fn exited_with(order: &Order, state: TaskState, cause: Option<Cause>) -> TaskReport {
+    TaskReport { task: order.task.clone(), attempt: order.attempt, state, cause, saved: None }
+}
+
+fn ops(orders: &[Order], op: Op) -> Vec<&Order> {
+    orders.iter().filter(|o| o.op == op).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_start_leaves_only_after_its_record_and_a_clear_only_after_the_outcomes() {
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 1}));
+    duty.pass(0.1);
+    let commits = duty.commits();
+    assert_eq!(commits.len(), 1);
+    assert!(duty.report("n-1", 1, &[]).is_empty(), "not durable yet");
+    duty.commit(commits);
+    let orders = duty.report("n-1", 1, &[]);
+    let starts = ops(&orders, Op::Start);
+    assert_eq!(starts.len(), 1);
+    let exit = exited(starts[0], Cause::Stopped);
+    let orders = duty.report("n-1", 1, std::slice::from_ref(&exit));
+    assert!(ops(&orders, Op::Forget).is_empty(), "the exit is not durable yet");
+    duty.settle();
+    let cleared = exit.attempt;
+    let orders = duty.report("n-1", 1, &[exit]);
+    assert_eq!(ops(&orders, Op::Forget).len(), 1);
+    // The next start has another number: a cleared attempt would run again.
+    let orders = duty.report("n-1", 1, &[]);
+    assert!(ops(&orders, Op::Start)[0].attempt > cleared);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_late_copy_of_a_report_changes_nothing() {
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 1}));
+    duty.settle();
+    let orders = duty.report("n-1", 1, &[]);
+    let task = running(&orders[0]);
+    duty.report("n-1", 1, &[task]);
+    // Copies from before the start, which lack the task.
+    for seq in 1..=2 {
+        assert!(duty.report_at("n-1", seq, 1, &[]).is_empty());
+    }
+    duty.settle();
+    assert_eq!(duty.bound("j-000001"), [(0, "n-1".to_owned())]);
+    // Past its lease the session is over, and a late report of it too.
+    duty.pass(12.0);
+    duty.settle();
+    assert!(duty.bound("j-000001").is_empty());
+    assert!(duty.report_at("n-1", 90, 1, &[]).is_empty());
+    duty.settle();
+    assert!(duty.bound("j-000001").is_empty(), "a dead session takes no tasks");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_returned_task_is_placed_once_after_a_takeover() {
+    // It was listed twice when it lay beyond the new leader's cursor, and so
+    // ran on two machines.
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 1, "Gpus": 8.0}));
+    duty.settle();
+    assert_eq!(duty.bound("j-000001").len(), 1);
+    let mut next = duty.succeed(6);
+    next.report("n-1", 2, &[]);
+    next.report("n-2", 1, &[]);
+    next.report("n-3", 1, &[]);
+    next.settle();
+    let page = next.page("j-000001");
+    assert_eq!(page.bound.len(), 1);
+    assert_eq!(page.attempt, 2);
+    let mut starts = 0;
+    for (machine, session) in [("n-1", 2), ("n-2", 1), ("n-3", 1)] {
+        starts += ops(&next.report(machine, session, &[]), Op::Start).len();
+    }
+    assert_eq!(starts, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn silence_towards_a_new_leader_is_no_proof() {
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 1}));
+    duty.settle();
+    let mut next = duty.succeed(6);
+    next.report("n-2", 1, &[]);
+    next.report("n-3", 1, &[]);
+    for _ in 0..15 {
+        next.report("n-2", 1, &[]);
+        next.report("n-3", 1, &[]);
+        next.pass(1.0);
+    }
+    next.settle();
+    assert_eq!(next.bound("j-000001"), [(0, "n-1".to_owned())]);
+    // Only a deletion that the cloud answered frees the task.
+    next.pass(2.0);
+    let deletions = next.leader.take_deletions();
+    assert_eq!(deletions.iter().map(|m| &**m).collect::<Vec<_>>(), ["n-1"]);
+    next.leader.deleted(&deletions, next.now);
+    next.report("n-2", 1, &[]);
+    next.settle();
+    assert_ne!(next.bound("j-000001")[0].1, "n-1");
+    // A late report of the deleted machine brings nothing back.
+    assert!(next.report_at("n-1", 99, 7, &[]).is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_team_stays_within_its_limit_while_a_task_lingers() {
+    let mut duty = Duty::new(5);
+    for machine in ["n-1", "n-2", "n-3"] {
+        duty.report(machine, 1, &[]);
+    }
+    // 16 GPUs at most: two tasks of 8.
+    duty.submit("j-000001", json!({"Crew": "red", "Shape": "service", "Spokes": 2, "Gpus": 8.0}));
+    duty.settle();
+    duty.submit("j-000002", json!({"Crew": "red", "Shape": "service", "Spokes": 1, "Gpus": 8.0}));
+    duty.settle();
+    assert_eq!(duty.bound("j-000001").len(), 2);
+    assert!(duty.bound("j-000002").is_empty());
+    let machine = duty.bound("j-000001")[0].1.clone();
+    let orders = duty.report(&machine, 1, &[]);
+    let task = running(ops(&orders, Op::Start)[0]);
+    duty.report(&machine, 1, std::slice::from_ref(&task));
+    duty.cancel("j-000001");
+    duty.settle();
+    // Cancelled, but still on the machine: it counts until proof.
+    assert!(duty.bound("j-000002").is_empty());
+    let orders = duty.report(&machine, 1, &[task]);
+    assert_eq!(ops(&orders, Op::Stop).len(), 1);
+    assert!(duty.bound("j-000002").is_empty());
+    duty.report(&machine, 1, &[]);
+    duty.settle();
+    assert_eq!(duty.bound("j-000002").len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn spread_counts_tasks_that_linger_in_a_zone() {
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    duty.report("n-2", 1, &[]);
+    let spread = json!({"Shape": "service", "Spokes": 2, "Scatter": true});
+    duty.submit("j-000001", spread);
+    duty.settle();
+    // One zone takes one of two, whatever room it has.
+    assert_eq!(duty.bound("j-000001").len(), 1);
+    duty.report("b-1", 1, &[]);
+    duty.settle();
+    let zones: Vec<u8> = duty.page("j-000001").bound.iter().map(|b| b.4).collect();
+    assert_eq!(zones.len(), 2);
+    assert_ne!(zones[0], zones[1]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_broken_gang_starts_again_only_when_all_of_it_is_gone() {
+    let mut duty = Duty::new(5);
+    for machine in ["n-1", "n-2", "n-3"] {
+        duty.report(machine, 1, &[]);
+    }
+    let gang =
+        json!({"Shape": "ensemble", "Spokes": 2, "Gpus": 8.0, "NotchS": 10.0, "StashS": 4.0});
+    duty.submit("j-000001", gang);
+    duty.settle();
+    let bound = duty.bound("j-000001");
+    assert_eq!(bound.len(), 2);
+    let mut tasks = Vec::new();
+    for (_, machine) in &bound {
+        let orders = duty.report(machine, 1, &[]);
+        tasks.push(running(ops(&orders, Op::Start)[0]));
+    }
+    assert_eq!(tasks[0].attempt, tasks[1].attempt, "they find each other by it");
+    for ((_, machine), task) in bound.iter().zip(&tasks) {
+        duty.report(machine, 1, std::slice::from_ref(task));
+    }
+    // The first one's session ends: the other is told to save and stop.
+    duty.report(&bound[0].1, 2, &[]);
+    duty.settle();
+    assert_eq!(duty.bound("j-000001").len(), 1, "no new attempt yet");
+    let orders = duty.report(&bound[1].1, 1, std::slice::from_ref(&tasks[1]));
+    let stops = ops(&orders, Op::Stop);
+    assert!(stops[0].grace_s.is_some_and(|g| g >= 4.0));
+    let exit = exited(stops[0], Cause::Peers);
+    duty.report(&bound[1].1, 1, &[exit]);
+    duty.settle();
+    let page = duty.page("j-000001");
+    assert_eq!(page.bound.len(), 2);
+    assert!(page.bound.iter().all(|b| b.1 == tasks[0].attempt + 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_page_never_leaves_twice_at_once() {
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 1}));
+    duty.pass(0.1);
+    let first = duty.commits();
+    duty.submit("j-000002", json!({"Shape": "service", "Spokes": 1}));
+    duty.report("n-1", 2, &[]);
+    duty.pass(0.1);
+    let second = duty.commits();
+    let same = |c: &Commit| matches!(&c.kind, CommitKind::Page { job, .. } if &**job == "j-000001");
+    assert!(first.iter().any(same));
+    assert!(!second.iter().any(same), "it waits for the first write");
+    // The first write is unsure and turns out not to stand: made again.
+    for commit in first {
+        duty.leader.not_committed(commit.kind, &duty.picture, duty.now);
+    }
+    assert!(duty.commits().iter().any(same));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_with_a_mistake_does_not_condemn_the_machines() {
+    let mut duty = Duty::new(5);
+    let machines = ["n-1", "n-2", "n-3", "n-4"];
+    for machine in machines {
+        duty.report(machine, 1, &[]);
+    }
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 1}));
+    for _ in 0..120 {
+        duty.settle();
+        duty.pass(0.6);
+        for machine in machines {
+            let orders = duty.report(machine, 1, &[]);
+            if let Some(start) = ops(&orders, Op::Start).first() {
+                let failed = exited(start, Cause::Error);
+                duty.report(machine, 1, &[failed]);
+            }
+        }
+    }
+    let reasons = duty.leader.take_deletions();
+    let attempts = duty.page("j-000001").attempt;
+    assert!((4..25).contains(&attempts), "it backs off: {attempts} attempts");
+    assert!(reasons.is_empty(), "one job alone fails no machine: {reasons:?}");
+    duty.submit("j-000002", json!({"Shape": "service", "Spokes": 1}));
+    duty.settle();
+    assert_eq!(duty.bound("j-000002").len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stranger_is_stopped_and_a_cancelled_task_never_started() {
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    let stranger = TaskReport {
+        task: "j-000009/0".into(),
+        attempt: 3,
+        state: TaskState::Running,
+        cause: None,
+        saved: None,
+    };
+    let orders = duty.report("n-1", 1, &[stranger]);
+    assert_eq!(ops(&orders, Op::Stop).len(), 1);
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 1}));
+    duty.settle();
+    assert_eq!(duty.bound("j-000001").len(), 1);
+    duty.cancel("j-000001");
+    let orders = duty.report("n-1", 1, &[]);
+    assert!(ops(&orders, Op::Start).is_empty());
+    duty.settle();
+    assert!(duty.picture.jobs.is_empty() && duty.picture.pages.is_empty());
+}
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,323 @@
+//! Short stories of a whole deployment in memory, told under paused time.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{World, job};
+use serde_json::json;
+use stonewheel::{
+    node::{Trouble, UserReply},
+    protocol::{Condition, JobState, Write},
+    store,
+};
+use tokio::time::sleep;
+
+fn created(reply: &Result<UserReply, Trouble>) -> bool {
+    matches!(reply, Ok(UserReply::Created(_)))
+}
+
+fn state(reply: Result<UserReply, Trouble>) -> JobState {
+    match reply {
+        Ok(UserReply::Known(status) | UserReply::Created(status)) => status.state,
+        other => panic!("no state: {other:?}"),
+    }
+}
+
+async fn seconds(n: u64) {
+    sleep(Duration::from_secs(n)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_array_runs_to_its_end_and_leaves_one_small_record() {
+    let world = World::new(1).await;
+    world.runs_for("j-000001", 5);
+    let body = job("j-000001", json!({"Spokes": 5}));
+    assert!(created(&world.node(0).submit(&body).await));
+    world.until_state(1, "j-000001", JobState::Done).await;
+    seconds(5).await;
+    assert_eq!(world.starts(), 5);
+    assert_eq!(world.state.keys("sw/j/"), [""; 0]);
+    assert_eq!(world.state.keys("sw/p/"), [""; 0]);
+    // A late repeat of the submission gets the end, not a new job.
+    assert_eq!(state(world.node(2).submit(&body).await), JobState::Done);
+    assert!(world.broken().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_to_a_submission_and_its_retry_on_another_node_make_one_job() {
+    let world = World::new(1).await;
+    let follower = (world.leader().expect("a leader") + 1) % 3;
+    world.runs_for("j-000002", 3);
+    world.state.mute(&format!("m-{follower}"), 1);
+    let body = job("j-000002", json!({"Spokes": 1}));
+    // The write was carried out unanswered; reading back finds it.
+    assert_eq!(state(world.node(follower).submit(&body).await), JobState::Pending);
+    let other = (follower + 1) % 3;
+    let reply = world.node(other).submit(&body).await;
+    assert!(matches!(reply, Ok(UserReply::Known(_))));
+    world.until_state(other, "j-000002", JobState::Done).await;
+    assert_eq!(world.starts(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_first_end_wins_between_cancelled_and_done() {
+    let world = World::new(1).await;
+    world.runs_for("j-000003", 2);
+    let body = job("j-000003", json!({"Spokes": 1}));
+    assert!(created(&world.node(0).submit(&body).await));
+    // Done stands in the store before any node's picture may know of it.
+    let version = world.state.version("sw/j/j-000003");
+    assert!(version > 0);
+    world.until_state(0, "j-000003", JobState::Done).await;
+    for node in 0..3 {
+        assert_eq!(state(world.node(node).cancel("j-000003").await), JobState::Done);
+    }
+    let again = job("j-000004", json!({"Shape": "service", "Spokes": 1}));
+    assert!(created(&world.node(0).submit(&again).await));
+    world.until("it runs", || !world.machines_of("j-000004").is_empty()).await;
+    assert_eq!(state(world.node(1).cancel("j-000004").await), JobState::Cancelled);
+    for node in 0..3 {
+        assert_eq!(state(world.node(node).status("j-000004").await), JobState::Cancelled);
+    }
+    world.until("it is gone", || world.machines_of("j-000004").is_empty()).await;
+    seconds(20).await;
+    assert!(world.machines_of("j-000004").is_empty());
+    assert_eq!(world.state.keys("sw/p/"), [""; 0]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_deposed_leaders_late_write_fails() {
+    let world = World::new(2).await;
+    let old = world.leader().expect("a leader");
+    let name = format!("m-{old}");
+    let body = job("j-000005", json!({"Shape": "service", "Spokes": 2}));
+    world.state.hold(&name);
+    let other = (old + 1) % 3;
+    assert!(created(&world.node(other).submit(&body).await));
+    world.until("the placement is under way", || world.state.held_count() > 0).await;
+    assert!(world.machines_of("j-000005").is_empty(), "no order before the record");
+    world.kill_node(old);
+    world.until("another leads", || world.leader().is_some_and(|l| l != old)).await;
+    world.until("it runs", || world.starts() >= 2).await;
+    for late in world.state.deliver_held() {
+        assert!(late.is_err(), "a late write of the old leader was taken: {late:?}");
+    }
+    seconds(10).await;
+    assert_eq!(world.starts(), 2);
+    assert!(world.broken().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_task_on_an_unreachable_machine_is_not_started_elsewhere_without_proof() {
+    let world = World::new(2).await;
+    let old = world.leader().expect("a leader");
+    let body = job("j-000006", json!({"Shape": "service", "Spokes": 1}));
+    assert!(created(&world.node(0).submit(&body).await));
+    world.until("it runs", || !world.machines_of("j-000006").is_empty()).await;
+    let machine = world.machines_of("j-000006")[0].clone();
+    // The old leader, cut from the store alone, keeps the worker's lease alive.
+    let others: Vec<usize> = (0..3).filter(|n| *n != old).collect();
+    world.cut(&machine, &others);
+    world.state.refuse(&format!("m-{old}"), true);
+    world.until("another leads", || world.leader().is_some_and(|l| l != old)).await;
+    seconds(60).await;
+    // By then the machine was given up through the cloud, which is proof.
+    let now = world.machines_of("j-000006");
+    assert_eq!(now.len(), 1);
+    assert_ne!(now[0], machine);
+    assert!(world.broken().is_empty(), "{:?}", world.broken());
+}
+
+#[tokio::test(start_paused = true)]
+async fn workers_leave_a_leader_that_lost_the_store_and_find_the_next() {
+    let world = World::new(2).await;
+    let old = world.leader().expect("a leader");
+    let body = job("j-000007", json!({"Shape": "service", "Spokes": 2}));
+    assert!(created(&world.node(0).submit(&body).await));
+    world.until("it runs", || world.starts() == 2).await;
+    world.state.refuse(&format!("m-{old}"), true);
+    seconds(30).await;
+    // New work starts under the new leader, and the old work went on.
+    let next = world.leader().expect("a leader");
+    assert_ne!(next, old);
+    world.runs_for("j-000008", 2);
+    assert!(created(&world.node(next).submit(&job("j-000008", json!({}))).await));
+    world.until_state(next, "j-000008", JobState::Done).await;
+    assert_eq!(world.starts(), 4, "nothing was restarted");
+    // The refused node doesn't guess.
+    assert_eq!(world.node(old).status("j-000007").await, Err(Trouble::State));
+    assert_eq!(world.node(old).status("j-999999").await, Err(Trouble::State));
+    assert!(world.broken().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_longer_than_a_worker_lease_stops_nothing() {
+    let world = World::new(2).await;
+    let leader = world.leader().expect("a leader");
+    let body = job("j-000009", json!({"Shape": "service", "Spokes": 4}));
+    assert!(created(&world.node(0).submit(&body).await));
+    world.until("it runs", || world.starts() == 4).await;
+    world.state.set_outage(true);
+    seconds(5).await;
+    for node in 0..3 {
+        let reply = world.node(node).submit(&job("j-000010", json!({}))).await;
+        assert_eq!(reply, Err(Trouble::State));
+        assert_eq!(world.node(node).status("j-000009").await, Err(Trouble::State));
+        assert!(world.node(node).healthy(), "no other node would be better");
+    }
+    seconds(40).await;
+    world.state.set_outage(false);
+    seconds(10).await;
+    assert_eq!(world.leader(), Some(leader), "its key still stands");
+    assert_eq!(world.starts(), 4, "nothing was restarted");
+    world.runs_for("j-000010", 1);
+    assert!(created(&world.node(0).submit(&job("j-000010", json!({}))).await));
+    world.until_state(1, "j-000010", JobState::Done).await;
+    assert!(world.broken().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn reads_after_a_failover_are_not_older_than_what_was_told() {
+    let world = World::new(1).await;
+    for round in 0..6 {
+        let id = format!("j-0001{round:02}");
+        let body = job(&id, json!({"Shape": "service", "Spokes": 1}));
+        let first = world.node(round % 3).submit(&body).await;
+        assert!(created(&first));
+        // At once, on every node: whatever the watch has brought so far.
+        for node in 0..3 {
+            assert_ne!(world.node(node).status(&id).await, Ok(UserReply::Unknown));
+        }
+        assert_eq!(state(world.node((round + 1) % 3).cancel(&id).await), JobState::Cancelled);
+        for node in 0..3 {
+            assert_eq!(state(world.node(node).status(&id).await), JobState::Cancelled);
+        }
+        if round == 2 {
+            let leader = world.leader().expect("a leader");
+            world.kill_node(leader);
+            seconds(1).await;
+            world.start_node(leader);
+            seconds(8).await;
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_controllers_end_at_once_and_nothing_is_lost() {
+    let world = World::new(2).await;
+    world.runs_for("j-000011", 30);
+    assert!(created(&world.node(0).submit(&job("j-000011", json!({"Spokes": 6}))).await));
+    world.until("some run", || world.starts() >= 2).await;
+    for node in 0..3 {
+        world.kill_node(node);
+    }
+    seconds(4).await;
+    for node in 0..3 {
+        world.start_node(node);
+    }
+    world.until_state(0, "j-000011", JobState::Done).await;
+    assert_eq!(world.starts(), 6, "running work went on through it");
+    assert!(world.broken().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_machine_that_hears_nothing_is_left_for_one_that_does() {
+    let world = World::new(1).await;
+    seconds(5).await;
+    let machine = "n-000001";
+    world.set_deaf(machine, true);
+    let body = job("j-000012", json!({"Shape": "service", "Spokes": 1}));
+    assert!(created(&world.node(0).submit(&body).await));
+    world.until("it runs elsewhere", || !world.machines_of("j-000012").is_empty()).await;
+    assert_ne!(&*world.machines_of("j-000012")[0], machine);
+    assert!(world.broken().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_machine_that_fails_its_tasks_does_not_stall_a_job() {
+    let world = World::new(2).await;
+    seconds(5).await;
+    world.set_failing("n-000001");
+    world.runs_for("j-000013", 4);
+    assert!(created(&world.node(0).submit(&job("j-000013", json!({"Spokes": 10}))).await));
+    world.until_state(0, "j-000013", JobState::Done).await;
+    assert!(world.broken().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_huge_array_is_stored_in_values_that_fit_and_goes_on_after_a_takeover() {
+    let world = World::new(2).await;
+    world.runs_for("j-000014", 1_000);
+    let body = job("j-000014", json!({"Spokes": 100_000, "Crew": "red"}));
+    assert!(created(&world.node(0).submit(&body).await));
+    // Its team's limit is 16 GPUs, so 16 tasks run.
+    world.until("it fills its limit", || world.starts() == 16).await;
+    let old = world.leader().expect("a leader");
+    world.kill_node(old);
+    seconds(30).await;
+    assert_eq!(world.starts(), 16, "the limit holds over a takeover");
+    let node = (old + 1) % 3;
+    assert_eq!(state(world.node(node).cancel("j-000014").await), JobState::Cancelled);
+    world.until("it is gone", || world.machines_of("j-000014").is_empty()).await;
+    world.until("its records are dropped", || world.state.keys("sw/p/").is_empty()).await;
+    assert!(world.broken().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn bad_submissions_are_told_apart() {
+    let world = World::new(1).await;
+    let node = world.node(0);
+    let malformed = [
+        b"not json".to_vec(),
+        b"[]".to_vec(),
+        job("j-1x", json!({})),
+        job("j-000020", json!({"Spokes": 0})),
+        job("j-000020", json!({"Spokes": 100_001})),
+        job("j-000020", json!({"Cores": -1.0})),
+        job("j-000020", json!({"Shape": "triangle"})),
+        job("j-000020", json!({"Rank": "urgent"})),
+        job("j-000020", json!({"Gpus": "two"})),
+        job("j-000020", json!({"Frames": []})),
+    ];
+    for body in malformed {
+        let reply = node.submit(&body).await;
+        assert!(matches!(reply, Ok(UserReply::Malformed(_))), "{reply:?}");
+    }
+    let impossible = [
+        job("j-000020", json!({"Crew": "nobody"})),
+        job("j-000020", json!({"Gpus": 9.0})),
+        job("j-000020", json!({"Frames": ["g9"]})),
+        job("j-000020", json!({"Yard": "nowhere"})),
+        job("j-000020", json!({"Crew": "red", "Shape": "ensemble", "Spokes": 17})),
+    ];
+    for body in impossible {
+        let reply = node.submit(&body).await;
+        assert!(matches!(reply, Ok(UserReply::Impossible(_))), "{reply:?}");
+    }
+    assert_eq!(node.status("j-000020").await, Ok(UserReply::Unknown));
+    // More tasks than the limit holds at once are fine for an array.
+    let body = job("j-000021", json!({"Crew": "red", "Spokes": 17}));
+    assert!(created(&node.submit(&body).await));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_conflict_takes_out_one_change_and_commits_the_others() {
+    let world = World::new(1).await;
+    let node = world.node(0);
+    let raw = |text: &str| store::value(&text).expect("json");
+    world
+        .state
+        .commit(
+            Vec::new(),
+            vec![Write::Put { key: "sw/e/j-7".into(), value: raw("x"), lease: None }],
+        )
+        .expect("free");
+    let bodies = ["j-000030", "j-7", "j-000031"].map(|id| job(id, json!({})));
+    let (one, two, three) =
+        tokio::join!(node.submit(&bodies[0]), node.submit(&bodies[1]), node.submit(&bodies[2]),);
+    assert!(created(&one) && created(&three));
+    assert!(!created(&two), "its end record stands already");
+    let condition = Condition { key: "sw/e/j-7".into(), version: 1 };
+    assert!(world.state.commit(vec![condition], Vec::new()).is_err());
+}
