--- a/src/election.rs
+++ b/src/election.rs
@@ -6,7 +6,6 @@
 
 use std::sync::Arc;
 
-use rand::RngExt;
 use tokio::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
@@ -46,8 +45,7 @@
             }
             Some(None) if hold_off.is_none_or(|until| until <= Instant::now()) => {
                 // Not all at the same instant: the first to ask wins.
-                let jitter = rand::rng().random_range(0.0..0.03);
-                tokio::time::sleep(ttl.mul_f64(jitter)).await;
+                tokio::time::sleep(node.jitter(ttl / 32)).await;
                 if lock(&node.picture).lead.is_none() {
                     attempt(node, 0, ttl).await;
                 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -60,7 +60,10 @@
         tracing::info!(member = %settings.member, zone = %settings.zone, "starting");
         let state = Arc::new(HttpState::new(&settings));
         let cloud = Arc::new(HttpCloud::new(&settings));
-        Node::new(settings, state, cloud).run(public, internal, CancellationToken::new()).await;
+        let seed = rand::random();
+        Node::new(settings, state, cloud, seed)
+            .run(public, internal, CancellationToken::new())
+            .await;
         Ok(())
     })
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use rand::RngExt;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use thiserror::Error;
 use tokio::{
     net::TcpListener,
@@ -80,6 +80,7 @@
     pub lead_changed: Notify,
     /// Drawn at each start, so that a node knows its former self from itself.
     pub nonce: u64,
+    rng: Mutex<StdRng>,
     writer: Arc<Writer>,
     term: Mutex<Option<Term>>,
     work: Notify,
@@ -95,7 +96,9 @@
         settings: Settings,
         state: Arc<dyn StateApi>,
         cloud: Arc<dyn CloudApi>,
+        seed: u64,
     ) -> Arc<Self> {
+        let mut rng = StdRng::seed_from_u64(seed);
         let settings = Arc::new(settings);
         let requests = Arc::new(Budget::new(settings.share(settings.cluster.state.rps, false)));
         let writer = Arc::new(Writer::new(state.clone(), &settings, requests.clone()));
@@ -112,7 +115,8 @@
             picture: Mutex::default(),
             peers: Peers::default(),
             lead_changed: Notify::new(),
-            nonce: rand::rng().random(),
+            nonce: rng.random(),
+            rng: Mutex::new(rng),
             writer,
             term: Mutex::new(None),
             work: Notify::new(),
@@ -350,6 +354,11 @@
 
     // Leadership.
 
+    /// A random share of `most`, so that nodes don't act at the same instant.
+    pub fn jitter(&self, most: Duration) -> Duration {
+        most.mul_f64(lock(&self.rng).random_range(0.0..1.0))
+    }
+
     pub fn is_me(&self, lead: &Lead) -> bool {
         lead.member == self.settings.member && lead.nonce == self.nonce
     }
