--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1134,13 +1134,24 @@
     /// One line for the operator.
     pub fn summary(&self, now: Instant) -> String {
         let report = self.settings.report();
-        let ready = self.fleet.machines.values().filter(|m| m.ready(now, report)).count();
-        let idle = self.fleet.machines.values().filter(|m| m.heard() && m.bound.is_empty()).count();
+        let (mut ready, mut idle, mut booting, mut used, mut total) = (0, 0, 0, 0.0, 0.0);
+        for machine in self.fleet.machines.values() {
+            if !machine.heard() {
+                booting += 1;
+                continue;
+            }
+            ready += u32::from(machine.ready(now, report));
+            idle += u32::from(machine.bound.is_empty());
+            total +=
+                self.types.iter().find(|t| t.name == machine.machine_type).map_or(0.0, |t| t.gpus);
+            for (job, _) in &machine.bound {
+                used += self.jobs.get(job).map_or(0.0, |j| j.spec.gpus);
+            }
+        }
         let waiting =
             self.jobs.values().filter(|j| j.bound.is_empty() && j.ended.is_none()).count();
-        let bound: usize = self.jobs.values().map(|j| j.bound.len()).sum();
         format!(
-            "jobs {} (waiting {waiting}), tasks bound {bound}, machines {} (ready {ready}, idle {idle})",
+            "jobs {} (waiting {waiting}), GPUs {used} of {total}, machines {} (booting {booting}, ready {ready}, idle {idle})",
             self.jobs.len(),
             self.fleet.machines.len()
         )
