Spot-able work leaves empty ordinary machines alone while spot can be had

Cause: arrays broke into empty ordinary machines, which then were neither returned nor free for whole-machine gangs.

--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -95,12 +95,16 @@
 fn find(snapshot: &Snapshot<'_>, at: usize, count: usize, ready: bool) -> Vec<usize> {
     let job = &snapshot.jobs[at];
     let zones = Zones::of(job, |z| snapshot.settings.zone_index(z));
+    // An empty ordinary machine is dear and wanted whole by others: work that
+    // may use spot machines leaves it alone while the cloud has those.
+    let spot_comes = job.spec.spot && spot_obtainable(snapshot, job);
     let open: Vec<usize> = (0..snapshot.machines.len())
         .filter(|&m| {
             let machine = &snapshot.machines[m];
             machine.ready == ready
                 && allows(&job.spec, &snapshot.types[machine.kind], machine.spot)
                 && !job.avoid.contains(&machine.id)
+                && !(spot_comes && machine.empty && !machine.spot)
         })
         .collect();
     if job.spec.one_zone && job.spec.tasks > 1 && job.bound.is_empty() {
@@ -117,6 +121,17 @@
     fill(snapshot, job, &open, count, zones)
 }
 
+fn spot_obtainable(snapshot: &Snapshot<'_>, job: &JobView) -> bool {
+    let zones = Zones::of(job, |z| snapshot.settings.zone_index(z));
+    snapshot.types.iter().enumerate().any(|(kind, t)| {
+        allows(&job.spec, t, true)
+            && t.zones
+                .iter()
+                .filter_map(|z| snapshot.settings.zone_index(z))
+                .any(|zone| zones.allow(zone) && !snapshot.refused.contains(&(kind, zone, true)))
+    })
+}
+
 fn fill(
     snapshot: &Snapshot<'_>,
     job: &JobView,
