--- a/src/controller.rs
+++ b/src/controller.rs
@@ -686,10 +686,31 @@
         self.fleet.forget_gone(now, keep);
     }
 
-    /// Idle ordinary machines kept for what may come.
+    /// Empty ordinary machines kept ready for what may come. Arrivals and
+    /// departures of work whose class has an aim on waiting make its load
+    /// swing by about the root of it, and a boot is too long to wait for.
     fn spare(&self) -> usize {
-        let used = self.fleet.machines.values().filter(|m| !m.spot && !m.bound.is_empty()).count();
-        (used as f64 * self.settings.operator.headroom).ceil() as usize
+        let waits =
+            |job: &Job| {
+                self.settings.cluster.objectives.iter().any(|o| {
+                    o.kind == "wait" && o.class.as_ref().is_some_and(|c| *c == job.spec.class)
+                })
+            };
+        let share = |spec: &JobSpec| {
+            let need = Resources::of_task(spec);
+            self.types
+                .iter()
+                .map(|t| need.share_of(&Resources::of_type(t)))
+                .fold(f64::INFINITY, f64::min)
+                .min(1.0)
+        };
+        let load: f64 = self
+            .jobs
+            .values()
+            .filter(|j| !j.spec.spot && waits(j))
+            .map(|j| share(&j.spec) * j.bound.len() as f64)
+            .sum();
+        (load.sqrt() * self.settings.operator.headroom).round() as usize
     }
 
     fn delete(&mut self, id: &MachineId, reason: &str, now: Instant) {
@@ -735,6 +756,7 @@
             jobs,
             usage: self.usage.clone(),
             refused: self.refused.keys().copied().collect(),
+            spare: self.spare(),
             round,
         };
         let decisions = scheduler::decide(snapshot);
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -141,6 +141,8 @@
     pub usage: HashMap<Arc<str>, TeamUse>,
     /// Kinds of machine (type, zone, spot) that the cloud refused lately.
     pub refused: Vec<(usize, u8, bool)>,
+    /// Empty ordinary machines to have ready for what may come.
+    pub spare: usize,
     /// Whether the design's round is due now.
     pub round: bool,
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -140,7 +140,8 @@
     pub gang_slope: f64,
     /// Idle machines are returned after this share of their type's boot time.
     pub idle_boots: f64,
-    /// Free whole machines kept ready, as a share of those in use.
+    /// Empty machines kept ready, as a share of the root of the load of
+    /// classes with an aim on waiting.
     pub headroom: f64,
 }
 
