Direct orders: starts do not wait for the next report

Cause: a start waited half a report interval or more. Unanswered orders keep their task bound and its exit uncleared until the session ends.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -18,8 +18,8 @@
     cloud::{DELETE_LIMIT, RENT_LIMIT},
     fleet::{Fleet, Freshness, Machine, TaskKey, parse_task, task_name},
     protocol::{
-        Cause, Condition, JobId, JobSpec, JobState, MachineId, MachineType, Op, Order, Rental,
-        Report, Shape, TaskReport, TaskState, Write,
+        Cause, Condition, DirectOrders, JobId, JobSpec, JobState, MachineId, MachineType, Op,
+        Order, Rental, Report, Shape, TaskReport, TaskState, Write,
     },
     scheduler::{self, BoundView, JobView, MachineView, Resources, Snapshot, TeamUse},
     settings::Settings,
@@ -37,6 +37,8 @@
     durable: bool,
     /// Answers that carried its start order and were not followed by it.
     sent: u32,
+    /// A report showed it on the machine.
+    seen: bool,
     running_since: Option<Instant>,
     stop: Option<Stop>,
 }
@@ -168,6 +170,8 @@
     refused: HashMap<(usize, u8, bool), Instant>,
     rentals: Vec<Rental>,
     renting: Vec<Rental>,
+    /// Machines with orders that should not wait for the next report.
+    prompt: BTreeSet<MachineId>,
     deletions: Vec<MachineId>,
     rental_count: u64,
     next_round: Instant,
@@ -202,6 +206,7 @@
             refused: HashMap::new(),
             rentals: Vec::new(),
             renting: Vec::new(),
+            prompt: BTreeSet::new(),
             deletions: Vec::new(),
             rental_count: 0,
             next_round: now,
@@ -253,6 +258,7 @@
                     zone,
                     durable: true,
                     sent: 0,
+                    seen: false,
                     running_since: None,
                     stop: None,
                 };
@@ -277,6 +283,7 @@
                 Change::Ended(id) => {
                     if let Some(job) = self.jobs.get_mut(id) {
                         job.ended.get_or_insert(now);
+                        self.prompt.extend(job.bound.values().map(|b| b.machine.clone()));
                         self.ending.insert(id.clone());
                         self.changed = true;
                         self.round_due = true;
@@ -305,6 +312,21 @@
 
     /// Takes a report and answers with orders.
     pub fn on_report(&mut self, report: &Report, now: Instant) -> Result<Vec<Order>, Deposed> {
+        let orders = self.take_report(report, now)?;
+        for order in orders.iter().filter(|o| o.op == Op::Start) {
+            if let Some(key) = parse_task(&order.task)
+                && let Some(binding) =
+                    self.jobs.get_mut(&key.0).and_then(|j| j.bound.get_mut(&key.1))
+            {
+                binding.sent += 1;
+            }
+        }
+        Ok(orders)
+    }
+
+    /// Takes a report, which may be the answer to direct orders, and tells
+    /// which orders are due.
+    fn take_report(&mut self, report: &Report, now: Instant) -> Result<Vec<Order>, Deposed> {
         if report.token > self.token {
             return Err(Deposed);
         }
@@ -358,6 +380,7 @@
         if binding.session != report.session {
             return;
         }
+        let unsure = machine.unsure.contains(&(key.clone(), binding.attempt));
         match reported.filter(|t| t.attempt == binding.attempt) {
             Some(task) if task.state == TaskState::Exited => {
                 machine.deaf = 0;
@@ -367,6 +390,7 @@
             Some(task) => {
                 machine.deaf = 0;
                 binding.sent = 0;
+                binding.seen = true;
                 if task.state == TaskState::Running && binding.running_since.is_none() {
                     binding.running_since = Some(now);
                 }
@@ -384,18 +408,23 @@
                     }
                 }
             }
-            // Orders only leave in answers, which are never carried out late:
-            // a newer report at this token that lacks the task is proof.
-            None if mine && (ended || binding.stop.is_some()) => self.gone(key, now),
-            None if mine && binding.sent >= 2 => {
+            // Orders in answers are never carried out late, so a newer report
+            // at this token that lacks the task is proof, unless a direct
+            // order may still start it.
+            None if mine && !unsure && (ended || binding.stop.is_some()) => self.gone(key, now),
+            None if mine && !unsure && binding.sent >= 2 => {
                 // Told twice and still not there: the answers don't arrive.
                 machine.deaf += 1;
                 machine.shunned_until = Some(now + self.settings.worker_lease());
                 info!(machine = %report.machine, task = ?key, "the machine does not carry out orders");
                 self.gone(key, now);
             }
-            None if mine && binding.durable && reported.is_none() => {
-                binding.sent += 1;
+            None if mine
+                && binding.durable
+                && reported.is_none()
+                && !ended
+                && binding.stop.is_none() =>
+            {
                 orders.push(Order {
                     op: Op::Start,
                     task: task_name(&key.0, key.1),
@@ -430,7 +459,17 @@
                 let page = (key.0.clone(), key.1 / self.settings.page_tasks());
                 // A job's last exit is durable only with the job's end.
                 let finishing = job.is_some_and(|j| j.remaining() == 0);
-                if !finishing && !self.dirty.contains(&page) && !self.inflight.contains(&page) {
+                // While it is listed, a late start order has no effect.
+                let unsure = self
+                    .fleet
+                    .machines
+                    .get(&report.machine)
+                    .is_some_and(|m| m.unsure.contains(&(key.clone(), task.attempt)));
+                if !finishing
+                    && !unsure
+                    && !self.dirty.contains(&page)
+                    && !self.inflight.contains(&page)
+                {
                     orders.push(Order {
                         op: Op::Forget,
                         task: task.task.clone(),
@@ -629,12 +668,12 @@
         let Some(job) = self.jobs.get_mut(&key.0) else { return };
         let grace_s = job.grace_s();
         let stop = Stop { since: now, grace_s };
-        if job.spec.shape == Shape::Gang {
-            for binding in job.bound.values_mut() {
-                binding.stop.get_or_insert(stop);
+        let gang = job.spec.shape == Shape::Gang;
+        for (task, binding) in &mut job.bound {
+            if (gang || *task == key.1) && binding.stop.is_none() {
+                binding.stop = Some(stop);
+                self.prompt.insert(binding.machine.clone());
             }
-        } else if let Some(binding) = job.bound.get_mut(&key.1) {
-            binding.stop.get_or_insert(stop);
         }
     }
 
@@ -878,6 +917,7 @@
                 zone,
                 durable: false,
                 sent: 0,
+                seen: false,
                 running_since: None,
                 stop: None,
             };
@@ -926,6 +966,75 @@
         }
     }
 
+    // Direct orders.
+
+    /// Orders for machines that should not wait for their next report: the
+    /// address, and what to send there.
+    pub fn take_direct(&mut self, now: Instant) -> Vec<(MachineId, String, DirectOrders)> {
+        let mut direct = Vec::new();
+        let report = self.settings.report();
+        for id in std::mem::take(&mut self.prompt) {
+            let Some(machine) = self.fleet.machines.get_mut(&id) else { continue };
+            if !machine.usable(now, report) && machine.notice_until.is_none() || !machine.mine {
+                continue;
+            }
+            if machine.prompting {
+                self.prompt.insert(id);
+                continue;
+            }
+            let session = machine.seen.0;
+            let mut orders = Vec::new();
+            for key in &machine.bound {
+                let Some(job) = self.jobs.get(&key.0) else { continue };
+                let Some(binding) = job.bound.get(&key.1) else { continue };
+                if binding.session != session || !binding.durable {
+                    continue;
+                }
+                let stop =
+                    if job.ended.is_some() { Some(0.0) } else { binding.stop.map(|s| s.grace_s) };
+                let start = stop.is_none() && !binding.seen;
+                if start {
+                    machine.unsure.insert((key.clone(), binding.attempt));
+                } else if stop.is_none() || !binding.seen {
+                    continue;
+                }
+                orders.push(Order {
+                    op: if start { Op::Start } else { Op::Stop },
+                    task: task_name(&key.0, key.1),
+                    attempt: binding.attempt,
+                    grace_s: stop,
+                });
+            }
+            if !orders.is_empty() && !machine.addr.is_empty() {
+                machine.prompting = true;
+                let orders = DirectOrders { token: self.token, session, orders };
+                direct.push((id, machine.addr.clone(), orders));
+            }
+        }
+        direct
+    }
+
+    /// The answer to direct orders, or none.
+    pub fn on_direct(
+        &mut self,
+        id: &MachineId,
+        orders: &DirectOrders,
+        answer: Option<&Report>,
+        now: Instant,
+    ) -> Result<(), Deposed> {
+        let Some(machine) = self.fleet.machines.get_mut(id) else { return Ok(()) };
+        machine.prompting = false;
+        let Some(report) = answer.filter(|r| r.machine == *id) else { return Ok(()) };
+        if machine.seen.0 == orders.session {
+            for order in &orders.orders {
+                if let Some(key) = parse_task(&order.task) {
+                    machine.unsure.remove(&(key, order.attempt));
+                }
+            }
+        }
+        self.take_report(report, now).map(|_| ())
+    }
+
     // The cloud's side.
 
     pub fn take_rentals(&mut self) -> Vec<Rental> {
@@ -1098,6 +1207,9 @@
                         && binding.attempt == *attempt
                     {
                         binding.durable = true;
+                        if !binding.seen {
+                            self.prompt.insert(binding.machine.clone());
+                        }
                     }
                 }
                 if job.ended.is_some() || job.remaining() == 0 {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,14 +7,19 @@
 //! answer, if the worker had been seen at the leader's token.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    net::SocketAddr,
     sync::Arc,
 };
 
+use futures_util::future::BoxFuture;
+use hyper::{Method, StatusCode};
+
 use tokio::time::{Duration, Instant};
 
 use crate::{
-    protocol::{JobId, ListedMachine, MachineId, MachineState, Report},
+    http::client::{CallError, HttpClient},
+    protocol::{DirectOrders, JobId, ListedMachine, MachineId, MachineState, Report},
     scheduler::Resources,
     settings::Settings,
 };
@@ -31,6 +36,46 @@
     format!("{job}/{task}")
 }
 
+/// Orders sent to a worker's own address. The answer is its report after
+/// them, or after refusing them; without an answer they may still be carried
+/// out for as long as token and session match.
+pub trait WorkerApi: Send + Sync {
+    fn command(&self, addr: &str, orders: DirectOrders)
+    -> BoxFuture<'_, Result<Report, CallError>>;
+}
+
+pub struct HttpWorkers {
+    client: HttpClient,
+    timeout: Duration,
+}
+
+impl HttpWorkers {
+    pub fn new(settings: &Settings) -> Self {
+        let timeout = settings.report();
+        Self { client: HttpClient::new(1, timeout * 8, timeout), timeout }
+    }
+}
+
+impl WorkerApi for HttpWorkers {
+    fn command(
+        &self,
+        addr: &str,
+        orders: DirectOrders,
+    ) -> BoxFuture<'_, Result<Report, CallError>> {
+        let addr = addr.parse::<SocketAddr>();
+        Box::pin(async move {
+            let addr = addr.map_err(|e| CallError::Malformed(e.to_string()))?;
+            let body = Some(&orders);
+            let answer =
+                self.client.call(Method::POST, addr, "/commands", body, self.timeout).await?;
+            match answer.status {
+                StatusCode::OK | StatusCode::CONFLICT => answer.parse(),
+                other => Err(CallError::Malformed(format!("status {other}"))),
+            }
+        })
+    }
+}
+
 #[derive(Debug)]
 pub struct Machine {
     pub machine_type: Arc<str>,
@@ -48,6 +93,13 @@
     /// No task of this session or an earlier one can be on the machine.
     pub dead_session: u64,
     pub bound: BTreeSet<TaskKey>,
+    /// Direct start orders of this session that no answer has come for: they
+    /// may be carried out at any time until the session ends. Till then their
+    /// tasks' absence proves nothing, and clearing them would let them run
+    /// again.
+    pub unsure: HashSet<(TaskKey, u64)>,
+    /// Direct orders are under way.
+    pub prompting: bool,
     /// What tasks on the machine use that the leader has not bound there.
     pub strangers: Resources,
     /// Images fetched here, as far as the leader placed their tasks.
@@ -78,6 +130,8 @@
             answered: None,
             dead_session: 0,
             bound: BTreeSet::new(),
+            unsure: HashSet::new(),
+            prompting: false,
             strangers: Resources::default(),
             images: Vec::new(),
             notice_until: None,
@@ -163,6 +217,9 @@
             machine.deaf += 1;
             machine.shunned_until = Some(now + lease * machine.deaf);
         }
+        if new_session {
+            machine.unsure.clear();
+        }
         if machine.answered.is_none() {
             // The list may have guessed; the machine itself knows.
             machine.machine_type = report.machine_type.clone();
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,9 @@
 use std::{path::PathBuf, process::ExitCode, sync::Arc};
 
 use clap::Parser;
-use stonewheel::{cloud::HttpCloud, node::Node, settings::Settings, state::HttpState};
+use stonewheel::{
+    cloud::HttpCloud, fleet::HttpWorkers, node::Node, settings::Settings, state::HttpState,
+};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tracing::level_filters::LevelFilter;
@@ -61,9 +63,9 @@
         let state = Arc::new(HttpState::new(&settings));
         let cloud = Arc::new(HttpCloud::new(&settings));
         let seed = rand::random();
-        Node::new(settings, state, cloud, seed)
-            .run(public, internal, CancellationToken::new())
-            .await;
+        let workers = Arc::new(HttpWorkers::new(&settings));
+        let node = Node::new(settings, state, cloud, workers, seed);
+        node.run(public, internal, CancellationToken::new()).await;
         Ok(())
     })
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -20,11 +20,13 @@
     admission_limit::AdmissionLimit,
     cloud::{CloudApi, CloudError},
     controller::{Commit, CommitKind, Leader},
-    election, http, peers,
+    election,
+    fleet::WorkerApi,
+    http, peers,
     peers::Peers,
     protocol::{
-        Condition, Hello, JobSpec, JobState, JobStatus, MachineId, Order, Rental, Report, Shape,
-        Write, is_job_id,
+        Condition, DirectOrders, Hello, JobSpec, JobState, JobStatus, MachineId, Order, Rental,
+        Report, Shape, Write, is_job_id,
     },
     scheduler::{TeamUse, placement, team_room},
     settings::Settings,
@@ -72,6 +74,7 @@
     pub settings: Arc<Settings>,
     pub state: Arc<dyn StateApi>,
     pub cloud: Arc<dyn CloudApi>,
+    pub workers: Arc<dyn WorkerApi>,
     pub requests: Arc<Budget>,
     pub admission: Arc<AdmissionLimit>,
     pub picture: Mutex<Picture>,
@@ -96,6 +99,7 @@
         settings: Settings,
         state: Arc<dyn StateApi>,
         cloud: Arc<dyn CloudApi>,
+        workers: Arc<dyn WorkerApi>,
         seed: u64,
     ) -> Arc<Self> {
         let mut rng = StdRng::seed_from_u64(seed);
@@ -110,6 +114,7 @@
             settings,
             state,
             cloud,
+            workers,
             requests,
             admission: AdmissionLimit::new(target, ceiling),
             picture: Mutex::default(),
@@ -322,14 +327,36 @@
         match leader.on_report(report, now) {
             Ok(orders) => Some(ReportReply::Orders { token: held.token, orders }),
             Err(_) => {
-                warn!(token = held.token, seen = report.token, "a worker has seen a higher token");
-                *term = None;
-                self.lead_changed.notify_one();
+                self.depose(&mut term);
                 Some(ReportReply::Elsewhere(None))
             }
         }
     }
 
+    fn depose(&self, term: &mut Option<Term>) {
+        if let Some(held) = term.take() {
+            warn!(token = held.token, "a worker has seen a higher token");
+            self.lead_changed.notify_one();
+        }
+    }
+
+    /// Takes the answer to direct orders, or that none came.
+    fn take_direct(
+        &self,
+        version: u64,
+        id: &MachineId,
+        orders: &DirectOrders,
+        answer: Option<&Report>,
+    ) {
+        let mut term = lock(&self.term);
+        let leader = term.as_mut().filter(|t| t.version == version).and_then(|t| t.leader.as_mut());
+        let result = leader.map(|l| l.on_direct(id, orders, answer, Instant::now()));
+        if result.is_some_and(|r| r.is_err()) {
+            self.depose(&mut term);
+        }
+        self.work.notify_one();
+    }
+
     // Between controllers.
 
     pub fn hello(&self) -> Hello {
@@ -618,13 +645,17 @@
                 }
                 let commits =
                     if leader.has_writes() { leader.take_commits(&picture) } else { Vec::new() };
-                (commits, leader.take_rentals(), leader.take_deletions())
+                let direct = leader.take_direct(now);
+                (commits, direct, leader.take_rentals(), leader.take_deletions())
             })
         };
-        let Some((commits, rentals, deletions)) = due else { return };
+        let Some((commits, direct, rentals, deletions)) = due else { return };
         for commit in commits {
             work.spawn(until(stop.clone(), carry(node.clone(), version, commit)));
         }
+        for (id, addr, orders) in direct {
+            work.spawn(until(stop.clone(), prompt(node.clone(), version, id, addr, orders)));
+        }
         for rental in rentals {
             work.spawn(until(stop.clone(), rent(node.clone(), version, rental)));
         }
@@ -687,6 +718,15 @@
     node.work.notify_one();
 }
 
+/// Sends orders to a worker's own address.
+async fn prompt(node: Arc<Node>, version: u64, id: MachineId, addr: String, orders: DirectOrders) {
+    let answer = node.workers.command(&addr, orders.clone()).await;
+    if let Err(error) = &answer {
+        debug!(machine = %id, %error, "direct orders");
+    }
+    node.take_direct(version, &id, &orders, answer.as_ref().ok());
+}
+
 async fn rent(node: Arc<Node>, version: u64, rental: Rental) {
     loop {
         let answer = match node.cloud.rent(rental.clone()).await {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -12,12 +12,13 @@
 use serde_json::{json, value::RawValue};
 use stonewheel::{
     cloud::{CloudApi, CloudError},
+    fleet::WorkerApi,
     http::client::CallError,
     node::{Node, ReportReply, UserReply},
     protocol::{
-        Cause, Condition, Event, Events, Item, ItemPage, JobState, ListedMachine, MachineId,
-        MachineList, MachineState, MachineType, Op, Order, Rental, Report, TaskReport, TaskState,
-        Transaction, Write,
+        Cause, Condition, DirectOrders, Event, Events, Item, ItemPage, JobState, ListedMachine,
+        MachineId, MachineList, MachineState, MachineType, Op, Order, Rental, Report, TaskReport,
+        TaskState, Transaction, Write,
     },
     settings::Settings,
     state::{StateApi, StateError},
@@ -517,7 +518,8 @@
             site.seeds
         };
         let (state, cloud) = (self.state.client(&name), Arc::new(self.clone()));
-        let node = Node::new(settings(&name), state, cloud, seed);
+        let workers = Arc::new(MemWorkers { world: self.clone(), at });
+        let node = Node::new(settings(&name), state, cloud, workers, seed);
         node.spawn_duties(&stop).close();
         lock(&self.site).nodes[at] = Some((node, stop));
     }
@@ -675,8 +677,14 @@
                 (on.state, on.cause) = (TaskState::Exited, Some(Cause::Done));
             }
         }
-        worker.seq += 1;
-        let tasks = worker
+        Some((worker.report(name), worker.cut_from.clone(), worker.deaf))
+    }
+}
+
+impl Worker {
+    fn report(&mut self, name: &MachineId) -> Report {
+        self.seq += 1;
+        let tasks = self
             .tasks
             .iter()
             .map(|(task, on)| TaskReport {
@@ -687,23 +695,67 @@
                 saved: None,
             })
             .collect();
-        let report = Report {
+        Report {
             machine: name.clone(),
-            addr: String::new(),
+            addr: name.to_string(),
             machine_type: "g8".into(),
-            zone: worker.zone.clone(),
-            spot: worker.spot,
-            session: worker.session,
-            seq: worker.seq,
-            token: worker.token,
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
             notice_s: None,
             tasks,
-        };
-        Some((report, worker.cut_from.clone(), worker.deaf))
+        }
+    }
+}
+
+/// A node's way to the workers' own addresses.
+struct MemWorkers {
+    world: World,
+    at: usize,
+}
+
+impl WorkerApi for MemWorkers {
+    fn command(
+        &self,
+        addr: &str,
+        orders: DirectOrders,
+    ) -> BoxFuture<'_, Result<Report, CallError>> {
+        let name: MachineId = addr.into();
+        Box::pin(async move {
+            sleep(LATENCY).await;
+            let answer = {
+                let mut site = lock(&self.world.site);
+                site.command(&name, self.at, orders)
+            };
+            if let Some(report) = answer {
+                return Ok(report);
+            }
+            sleep(Duration::from_secs(1)).await;
+            Err(CallError::Timeout)
+        })
     }
 }
 
 impl Site {
+    /// Direct orders from node `from`: the worker's report, or silence.
+    fn command(&mut self, name: &MachineId, from: usize, orders: DirectOrders) -> Option<Report> {
+        let worker = self.workers.get(name)?;
+        if worker.deaf || worker.cut_from.contains(&from) {
+            return None;
+        }
+        let carried = orders.token >= worker.token && orders.session == worker.session;
+        if carried {
+            for order in orders.orders {
+                self.carry_out(name, order);
+            }
+        }
+        let worker = self.workers.get_mut(name)?;
+        worker.token = worker.token.max(orders.token);
+        Some(worker.report(name))
+    }
+
     fn carry_out(&mut self, name: &MachineId, order: Order) {
         let elsewhere = self.workers.iter().any(|(id, w)| {
             id != name && w.tasks.get(&order.task).is_some_and(|o| o.state != TaskState::Exited)
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -106,7 +106,7 @@
         let zone = if machine.starts_with("b-") { "b" } else { "a" };
         let report = Report {
             machine: machine.into(),
-            addr: String::new(),
+            addr: machine.into(),
             machine_type: "g8".into(),
             zone: zone.into(),
             spot: false,
@@ -411,3 +411,65 @@
     duty.settle();
     assert!(duty.picture.jobs.is_empty() && duty.picture.pages.is_empty());
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_unanswered_direct_order_keeps_its_task_bound_and_its_exit_uncleared() {
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 1}));
+    duty.settle();
+    let direct = duty.leader.take_direct(duty.now);
+    let (id, _, orders) = direct.first().expect("a start that doesn't wait for a report").clone();
+    assert_eq!(ops(&orders.orders, Op::Start).len(), 1);
+    duty.leader.on_direct(&id, &orders, None, duty.now).expect("leads");
+    duty.cancel("j-000001");
+    // Reports that lack the task prove nothing: the order may still arrive.
+    for _ in 0..3 {
+        assert!(duty.report("n-1", 1, &[]).is_empty());
+        duty.settle();
+        assert_eq!(duty.bound("j-000001").len(), 1);
+    }
+    // It arrived, and the task is stopped; while it is listed, another copy
+    // of the order can't start it again, so it is not cleared.
+    let start = orders.orders[0].clone();
+    let orders = duty.report("n-1", 1, &[running(&start)]);
+    assert_eq!(ops(&orders, Op::Stop).len(), 1);
+    let exit = exited(&start, Cause::Stopped);
+    for _ in 0..3 {
+        let orders = duty.report("n-1", 1, std::slice::from_ref(&exit));
+        assert!(ops(&orders, Op::Forget).is_empty());
+        duty.settle();
+    }
+    assert!(duty.bound("j-000001").is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answered_direct_order_counts_as_a_report() {
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 1}));
+    duty.settle();
+    let direct = duty.leader.take_direct(duty.now);
+    let (id, _, orders) = direct[0].clone();
+    let task = running(&orders.orders[0]);
+    let answer = Report {
+        machine: id.clone(),
+        addr: "n-1".into(),
+        machine_type: "g8".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        seq: 7,
+        token: 5,
+        notice_s: None,
+        tasks: vec![task],
+    };
+    duty.leader.on_direct(&id, &orders, Some(&answer), duty.now).expect("leads");
+    // A report sent before the order was carried out is older by its number.
+    assert!(duty.report_at("n-1", 2, 1, &[]).is_empty());
+    duty.settle();
+    assert_eq!(duty.bound("j-000001").len(), 1);
+    // A higher token in the answer ends the leadership.
+    let deposed = Report { token: 6, seq: 8, ..answer };
+    assert!(duty.leader.on_direct(&id, &orders, Some(&deposed), duty.now).is_err());
+}
