--- a/src/controller.rs
+++ b/src/controller.rs
@@ -251,6 +251,10 @@
                     Machine::new(Arc::from(""), zone.unwrap_or_default(), false, now)
                 });
                 known.bound.insert((id.clone(), task));
+                // What a former leader fetched there is known by what runs.
+                if !known.images.contains(&job.spec.image) {
+                    known.images.push(job.spec.image.clone());
+                }
                 let binding = Binding {
                     machine,
                     attempt,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -281,6 +281,15 @@
     ) -> Vec<(MachineId, &'static str)> {
         let lease = settings.worker_lease();
         let one_sided = self.mostly_silent(now, lease);
+        // Workers find a new leader well within their lease. Those that did
+        // not are probably dead, unless there are many of them.
+        let missing = self
+            .machines
+            .values()
+            .filter(|m| !m.bound.is_empty() && !m.mine && m.silence(now) > lease / 2)
+            .count();
+        let patience =
+            if missing * 4 > self.machines.len() { lease * 3 / 2 } else { lease * 3 / 4 };
         let mut found = Vec::new();
         for (id, machine) in &self.machines {
             if machine.deleting {
@@ -299,7 +308,8 @@
                     continue;
                 }
                 "it never booted"
-            } else if silence > lease * 3 || (silence > lease * 3 / 2 && !machine.bound.is_empty())
+            } else if silence > lease * 3
+                || (!machine.bound.is_empty() && !machine.mine && silence > patience)
             {
                 // Tasks may still be bound to it if its worker was never seen
                 // at this token: only a deletion proves that they are gone.
