Replicas take places that hold their image, from arrays if need be

Cause: restarted and new replicas fetched 15-28 s of image on one machine while another that held it ran arrays of lower priority.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -52,6 +52,8 @@
 struct Job {
     spec: Arc<JobSpec>,
     arrival: u64,
+    /// When this leader came to know it.
+    known_since: Instant,
     ended: Option<Instant>,
     bound: BTreeMap<u32, Binding>,
     done: HashSet<u32>,
@@ -70,10 +72,11 @@
 }
 
 impl Job {
-    fn new(spec: Arc<JobSpec>, arrival: u64) -> Self {
+    fn new(spec: Arc<JobSpec>, arrival: u64, now: Instant) -> Self {
         Self {
             spec,
             arrival,
+            known_since: now,
             ended: None,
             bound: BTreeMap::new(),
             done: HashSet::new(),
@@ -228,7 +231,7 @@
         if self.jobs.contains_key(id) {
             return;
         }
-        let mut job = Job::new(entry.spec.clone(), entry.version);
+        let mut job = Job::new(entry.spec.clone(), entry.version, now);
         job.ended = picture.ends.contains_key(id).then_some(now);
         for (number, entry) in picture.pages.get(id).into_iter().flatten() {
             let page: Page = match serde_json::from_str(entry.raw.get()) {
@@ -663,14 +666,14 @@
             }
         }
         for key in stops {
-            self.stop(&key, now);
+            self.stop(&key, false, now);
         }
     }
 
     /// Decides to stop a task; of a gang, all tasks.
-    fn stop(&mut self, key: &TaskKey, now: Instant) {
+    fn stop(&mut self, key: &TaskKey, at_once: bool, now: Instant) {
         let Some(job) = self.jobs.get_mut(&key.0) else { return };
-        let grace_s = job.grace_s();
+        let grace_s = if at_once { 0.0 } else { job.grace_s() };
         let stop = Stop { since: now, grace_s };
         let gang = job.spec.shape == Shape::Gang;
         for (task, binding) in &mut job.bound {
@@ -733,12 +736,6 @@
     /// departures of work whose class has an aim on waiting make its load
     /// swing by about the root of it, and a boot is too long to wait for.
     fn spare(&self) -> usize {
-        let waits =
-            |job: &Job| {
-                self.settings.cluster.objectives.iter().any(|o| {
-                    o.kind == "wait" && o.class.as_ref().is_some_and(|c| *c == job.spec.class)
-                })
-            };
         let share = |spec: &JobSpec| {
             let need = Resources::of_task(spec);
             self.types
@@ -750,12 +747,21 @@
         let load: f64 = self
             .jobs
             .values()
-            .filter(|j| !j.spec.spot && waits(j))
+            .filter(|j| !j.spec.spot && self.wait_aim(&j.spec).is_some())
             .map(|j| share(&j.spec) * j.bound.len() as f64)
             .sum();
         (load.sqrt() * self.settings.operator.headroom).round() as usize
     }
 
+    /// Within how many seconds a job's tasks should start, if its class has an
+    /// aim for that.
+    fn wait_aim(&self, spec: &JobSpec) -> Option<f64> {
+        let aims = &self.settings.cluster.objectives;
+        aims.iter()
+            .find(|o| o.kind == "wait" && o.class.as_ref().is_some_and(|c| *c == spec.class))
+            .and_then(|o| o.within_s)
+    }
+
     fn delete(&mut self, id: &MachineId, reason: &str, now: Instant) {
         let Some(machine) = self.fleet.machines.get_mut(id) else { return };
         if machine.deleting {
@@ -811,9 +817,9 @@
             }
         }
         self.bind(decisions.place);
-        for key in decisions.stop {
-            info!(job = %key.0, task = key.1, "stopped for work of higher priority");
-            self.stop(&key, now);
+        for stopping in decisions.stop {
+            info!(job = %stopping.job, task = stopping.task, at_once = stopping.at_once, "stopped for work of higher priority");
+            self.stop(&(stopping.job, stopping.task), stopping.at_once, now);
         }
         for id in decisions.awaited {
             if let Some(machine) = self.fleet.machines.get_mut(&id) {
@@ -893,6 +899,10 @@
             remaining: job.remaining(),
             bound,
             width: job.width,
+            patience_s: self.wait_aim(&job.spec).map(|aim| {
+                let waited = (now - job.known_since).as_secs_f64();
+                if job.attempt > 0 { 0.0 } else { aim - waited }
+            }),
             held: job.held_until.is_some(),
             avoid: job.avoid.clone(),
         }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -100,6 +100,8 @@
     pub bound: Vec<BoundView>,
     /// Width granted, or 0 for a job not admitted yet.
     pub width: u32,
+    /// Seconds left to meet its class's aim on waiting, if it has one.
+    pub patience_s: Option<f64>,
     /// Waits out a failure of its own.
     pub held: bool,
     /// Machines that failed its tasks.
@@ -147,10 +149,19 @@
     pub round: bool,
 }
 
+/// A task to stop for work of higher priority.
+#[derive(Debug, PartialEq)]
+pub struct Stopping {
+    pub job: JobId,
+    pub task: u32,
+    /// Without the time to save.
+    pub at_once: bool,
+}
+
 #[derive(Debug, Default, PartialEq)]
 pub struct Decisions {
     pub place: Vec<(JobId, u32, MachineId)>,
-    pub stop: Vec<(JobId, u32)>,
+    pub stop: Vec<Stopping>,
     pub widths: Vec<(JobId, u32)>,
     /// (type, zone, spot, how many)
     pub rent: Vec<(usize, u8, bool, u32)>,
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -63,7 +63,11 @@
         }
         let spec = job.spec.clone();
         let tasks: Vec<u32> = job.pending[..wanted.min(room)].to_vec();
-        let found = find(snapshot, at, tasks.len(), true);
+        let mut found = find(snapshot, at, tasks.len(), true);
+        let wanted_here = found.len();
+        if spec.shape == Shape::Service {
+            found = without_fetches(snapshot, at, found, decisions);
+        }
         let usage = snapshot.usage.entry(spec.team.clone()).or_default();
         usage.cpus += spec.cpus * tasks.len() as f64;
         usage.gpus += spec.gpus * tasks.len() as f64;
@@ -72,7 +76,8 @@
             decisions.place.push((snapshot.jobs[at].id.clone(), task, id));
             bind_in_thought(snapshot, at, machine);
         }
-        let rest = tasks[found.len()..].to_vec();
+        // Tasks that wait for cached room are neither placed nor lacking room.
+        let rest = tasks[found.len().max(wanted_here)..].to_vec();
         if !rest.is_empty() {
             lacking.push((at, rest));
         }
@@ -81,6 +86,34 @@
     rent(snapshot, &lacking, decisions);
 }
 
+/// Keeps a replica from a machine that would first fetch its image, if one
+/// that holds the image can be had at a smaller loss.
+fn without_fetches(
+    snapshot: &mut Snapshot<'_>,
+    at: usize,
+    found: Vec<usize>,
+    decisions: &mut Decisions,
+) -> Vec<usize> {
+    found
+        .into_iter()
+        .filter(|&m| {
+            let fetch_s = fetch_s(snapshot, at, m);
+            fetch_s <= 0.0 || !preemption::make_cached_room(snapshot, at, fetch_s, decisions)
+        })
+        .collect()
+}
+
+/// How long a machine needs for a job's image, if it has to be fetched.
+fn fetch_s(snapshot: &Snapshot<'_>, at: usize, machine: usize) -> f64 {
+    let (job, view) = (&snapshot.jobs[at], &snapshot.machines[machine]);
+    let rate = snapshot.types[view.kind].fetch_gb_per_s;
+    if rate <= 0.0 || view.images.contains(&job.spec.image) {
+        0.0
+    } else {
+        job.spec.image_gb / rate
+    }
+}
+
 fn hold(snapshot: &mut Snapshot<'_>, at: usize, machine: usize) {
     let spec = &snapshot.jobs[at].spec;
     let view = &mut snapshot.machines[machine];
@@ -179,6 +212,9 @@
     } else {
         job.spec.image_gb / kind.fetch_gb_per_s
     };
+    // A fetch that makes the job miss its aim on waiting costs more.
+    let late = job.patience_s.is_some_and(|p| p > 0.0 && fetch > p);
+    let fetch = if late { fetch + kind.boot_s } else { fetch };
     let total = Resources::of_type(kind);
     let fills = Resources::of_task(&job.spec).share_of(&total) > 0.5;
     let breaks = if view.empty && !taken && !fills { kind.boot_s / 4.0 } else { 0.0 };
--- a/src/scheduler/preemption.rs
+++ b/src/scheduler/preemption.rs
@@ -2,7 +2,7 @@
 
 use crate::protocol::Shape;
 
-use super::{Decisions, Resources, Snapshot, placement::Zones, placement::allows};
+use super::{Decisions, Resources, Snapshot, Stopping, placement::Zones, placement::allows};
 
 /// Makes room for `count` tasks of a job by stopping work of lower priority,
 /// the least lost work first. True if the tasks need no rented machine.
@@ -17,36 +17,68 @@
         return false;
     }
     for _ in 0..count {
-        let Some((machine, victims)) = cheapest(snapshot, at) else { return false };
-        let need = Resources::of_task(&snapshot.jobs[at].spec);
-        for (job, slot) in victims {
-            let spec = snapshot.jobs[job].spec.clone();
-            let bound = &mut snapshot.jobs[job].bound[slot];
-            bound.stopping = true;
-            decisions
-                .stop
-                .push((snapshot.jobs[job].id.clone(), snapshot.jobs[job].bound[slot].task));
-            snapshot.machines[machine].stopping.add(&Resources::of_task(&spec));
-        }
-        snapshot.machines[machine].stopping.sub(&need);
-        let zone = snapshot.machines[machine].zone;
-        snapshot.jobs[at].bound.push(super::BoundView {
-            task: u32::MAX,
-            machine: Some(machine),
-            zone,
-            stopping: true,
-            loss_s: 0.0,
-        });
+        let Some((machine, victims, _)) = cheapest(snapshot, at, false) else { return false };
+        stop_for(snapshot, at, machine, victims, decisions);
     }
     true
 }
 
+/// Makes room on a machine that holds the job's image already, if the fetch
+/// elsewhere would take longer than the work lost by it.
+pub fn make_cached_room(
+    snapshot: &mut Snapshot<'_>,
+    at: usize,
+    fetch_s: f64,
+    decisions: &mut Decisions,
+) -> bool {
+    match cheapest(snapshot, at, true) {
+        Some((machine, victims, loss_s)) if loss_s < fetch_s => {
+            stop_for(snapshot, at, machine, victims, decisions);
+            true
+        }
+        _ => false,
+    }
+}
+
+fn stop_for(
+    snapshot: &mut Snapshot<'_>,
+    at: usize,
+    machine: usize,
+    victims: Vec<Victim>,
+    decisions: &mut Decisions,
+) {
+    let need = Resources::of_task(&snapshot.jobs[at].spec);
+    // Saving takes time that a tight aim on waiting may not have.
+    let patience_s = snapshot.jobs[at].patience_s;
+    for (job, slot) in victims {
+        let spec = snapshot.jobs[job].spec.clone();
+        let bound = &mut snapshot.jobs[job].bound[slot];
+        bound.stopping = true;
+        let stop = Stopping {
+            job: spec.id.clone(),
+            task: bound.task,
+            at_once: patience_s.is_some_and(|p| p > 0.0 && p < spec.save_s * 1.5),
+        };
+        decisions.stop.push(stop);
+        snapshot.machines[machine].stopping.add(&Resources::of_task(&spec));
+    }
+    snapshot.machines[machine].stopping.sub(&need);
+    let zone = snapshot.machines[machine].zone;
+    snapshot.jobs[at].bound.push(super::BoundView {
+        task: u32::MAX,
+        machine: Some(machine),
+        zone,
+        stopping: true,
+        loss_s: 0.0,
+    });
+}
+
 /// A bound task: the job's place in the snapshot and the binding's in the job.
 type Victim = (usize, usize);
 
 /// The machine where one task finds room at the least loss, with the tasks
 /// (job, slot) to stop there: none if tasks already being stopped suffice.
-fn cheapest(snapshot: &Snapshot<'_>, at: usize) -> Option<(usize, Vec<Victim>)> {
+fn cheapest(snapshot: &Snapshot<'_>, at: usize, cached: bool) -> Option<(usize, Vec<Victim>, f64)> {
     let job = &snapshot.jobs[at];
     let need = Resources::of_task(&job.spec);
     let zones = Zones::of(job, |z| snapshot.settings.zone_index(z));
@@ -56,6 +88,7 @@
             || !zones.allow(machine.zone)
             || !allows(&job.spec, &snapshot.types[machine.kind], machine.spot)
             || job.avoid.contains(&machine.id)
+            || (cached && !machine.images.contains(&job.spec.image))
         {
             continue;
         }
@@ -89,5 +122,5 @@
             best = Some((loss, m, victims));
         }
     }
-    best.map(|(_, machine, victims)| (machine, victims))
+    best.map(|(loss, machine, victims)| (machine, victims, loss))
 }
