--- a/src/controller.rs
+++ b/src/controller.rs
@@ -26,6 +26,9 @@
     store::{self, Change, End, Page, Picture},
 };
 
+/// Boots usually end within one and a half of the type's boot time.
+const OVERDUE_BOOTS: f64 = 1.6;
+
 /// A task on its machine, until proof that it is gone.
 #[derive(Clone, Debug)]
 struct Binding {
@@ -637,7 +640,10 @@
         }
         self.stop_ended(now);
         self.return_machines(now);
-        let round = self.round_due && now >= self.next_round;
+        // While a job waits, each round looks again: a boot may be overdue by
+        // then, or the cloud have room again.
+        let waiting = |j: &Job| j.ended.is_none() && j.bound.is_empty();
+        let round = now >= self.next_round && (self.round_due || self.jobs.values().any(waiting));
         let waits_over = self.jobs.values().any(|j| j.held_until.is_some_and(|t| t <= now));
         if self.changed || round || waits_over {
             self.changed = false;
@@ -838,12 +844,11 @@
             };
             let Some(zone) = self.settings.zone_index(&machine.zone) else { continue };
             let ready = machine.ready(now, report);
-            let booting = !machine.heard() && !machine.deleting;
-            if !ready && !booting && !machine.usable(now, report) {
-                continue;
-            }
+            // A boot that is overdue may take several times as long, or never
+            // end: nothing should count on it any more.
+            let due = Duration::from_secs_f64(self.types[kind].boot_s * OVERDUE_BOOTS);
+            let booting = !machine.heard() && !machine.deleting && machine.silence(now) < due;
             if !ready && !booting {
-                // Shunned for now: neither used nor counted on.
                 continue;
             }
             let mut free = Resources::of_type(&self.types[kind]);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -304,7 +304,7 @@
                 && machine.bound.is_empty()
             {
                 // Some take several times as long to boot; a few never do.
-                if silence <= boot * 4 || silence <= lease * 2 {
+                if silence <= boot * 5 / 2 || silence <= lease * 2 {
                     continue;
                 }
                 "it never booted"
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -473,3 +473,21 @@
     let deposed = Report { token: 6, seq: 8, ..answer };
     assert!(duty.leader.on_direct(&id, &orders, Some(&deposed), duty.now).is_err());
 }
+
+#[tokio::test(start_paused = true)]
+async fn work_does_not_count_on_a_machine_that_never_boots() {
+    let mut duty = Duty::new(5);
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 1}));
+    duty.settle();
+    let rental = duty.leader.take_rentals().pop().expect("a rental");
+    duty.leader.rented(&rental, Some(vec!["n-9".into()]), duty.now);
+    duty.settle();
+    assert!(duty.leader.take_rentals().is_empty(), "it waits for the boot");
+    // A boot takes 20 s as a rule; past one and a half of it another is rented.
+    duty.pass(33.0);
+    let second = duty.leader.take_rentals().pop().expect("another rental");
+    assert_ne!(second.request, rental.request, "a name is never used twice");
+    duty.pass(20.0);
+    let deletions = duty.leader.take_deletions();
+    assert_eq!(deletions.iter().map(|m| &**m).collect::<Vec<_>>(), ["n-9"]);
+}
