--- a/src/controller.rs
+++ b/src/controller.rs
@@ -711,7 +711,7 @@
         for (id, reason) in self.fleet.to_delete(&self.settings, boot, now) {
             self.delete(&id, reason, now);
         }
-        let spare = self.spare();
+        let spare = self.spare_machines();
         let mut idle: Vec<(bool, Instant, MachineId)> = self
             .fleet
             .machines
@@ -738,25 +738,50 @@
         self.fleet.forget_gone(now, keep);
     }
 
-    /// Empty ordinary machines kept ready for what may come. Arrivals and
-    /// departures of work whose class has an aim on waiting make its load
-    /// swing by about the root of it, and a boot is too long to wait for.
-    fn spare(&self) -> usize {
-        let share = |spec: &JobSpec| {
-            let need = Resources::of_task(spec);
-            self.types
-                .iter()
-                .map(|t| need.share_of(&Resources::of_type(t)))
-                .fold(f64::INFINITY, f64::min)
-                .min(1.0)
+    /// Room on ordinary machines kept ready for what may come: empty machines
+    /// for tasks that need most of one, and room anywhere, in machines, for
+    /// the rest. Arrivals and departures of work whose class has an aim on
+    /// waiting make its load swing by about the root of it, and a boot is too
+    /// long to wait for.
+    fn spare(&self) -> (usize, f64) {
+        let (mut whole, mut partial) = (0.0, 0.0);
+        for job in self.jobs.values() {
+            if job.spec.spot || self.wait_aim(&job.spec).is_none() {
+                continue;
+            }
+            let need = Resources::of_task(&job.spec);
+            let shares = self.types.iter().map(|t| need.share_of(&Resources::of_type(t)));
+            let share = shares.fold(f64::INFINITY, f64::min).min(1.0);
+            let load = share * job.bound.len() as f64;
+            if share > 0.5 {
+                whole += load;
+            } else {
+                partial += load;
+            }
+        }
+        let headroom = self.settings.operator.headroom;
+        ((whole.sqrt() * headroom).round() as usize, partial.sqrt() * headroom)
+    }
+
+    /// How many empty ordinary machines that takes.
+    fn spare_machines(&self) -> usize {
+        let (empty, room) = self.spare();
+        empty + (room - self.partial_room()).max(0.0).round() as usize
+    }
+
+    /// Free room on ordinary machines that hold tasks, in machines.
+    fn partial_room(&self) -> f64 {
+        let free = |m: &Machine| {
+            let kind = self.types.iter().find(|t| t.name == m.machine_type)?;
+            let mut used = Resources::default();
+            for (id, _) in &m.bound {
+                let job = self.jobs.get(id)?;
+                used.add(&Resources::of_task(&job.spec));
+            }
+            Some((1.0 - used.share_of(&Resources::of_type(kind))).max(0.0))
         };
-        let load: f64 = self
-            .jobs
-            .values()
-            .filter(|j| !j.spec.spot && self.wait_aim(&j.spec).is_some())
-            .map(|j| share(&j.spec) * j.bound.len() as f64)
-            .sum();
-        (load.sqrt() * self.settings.operator.headroom).round() as usize
+        let held = self.fleet.machines.values().filter(|m| !m.spot && !m.bound.is_empty());
+        held.filter_map(free).sum()
     }
 
     /// Within how many seconds a job's tasks should start, if its class has an
@@ -811,7 +836,7 @@
             jobs,
             usage: self.usage.clone(),
             refused: self.refused.keys().copied().collect(),
-            spare: self.spare(),
+            spare: self.spare_machines(),
             round,
         };
         let decisions = scheduler::decide(snapshot);
