--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -133,6 +133,7 @@
     pub gpus: f64,
 }
 
+#[derive(Clone)]
 pub struct Snapshot<'a> {
     pub settings: &'a Settings,
     pub types: &'a [MachineType],
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -77,12 +77,13 @@
             bind_in_thought(snapshot, at, machine);
         }
         // Tasks that wait for cached room are neither placed nor lacking room.
-        let rest = tasks[found.len().max(wanted_here)..].to_vec();
+        let mut rest = tasks[found.len().max(wanted_here)..].to_vec();
+        let made = preemption::make_room(snapshot, at, rest.len(), decisions);
+        rest.drain(..made);
         if !rest.is_empty() {
             lacking.push((at, rest));
         }
     }
-    lacking.retain(|(at, tasks)| !preemption::make_room(snapshot, *at, tasks.len(), decisions));
     rent(snapshot, &lacking, decisions);
 }
 
--- a/src/scheduler/preemption.rs
+++ b/src/scheduler/preemption.rs
@@ -5,22 +5,40 @@
 use super::{Decisions, Resources, Snapshot, Stopping, placement::Zones, placement::allows};
 
 /// Makes room for `count` tasks of a job by stopping work of lower priority,
-/// the least lost work first. True if the tasks need no rented machine.
+/// the least lost work first, and holds that room for them. Returns for how
+/// many tasks it did; for a gang that is all or none.
 pub fn make_room(
     snapshot: &mut Snapshot<'_>,
     at: usize,
     count: usize,
     decisions: &mut Decisions,
-) -> bool {
+) -> usize {
     // Arrays wait for machines: stopping one task for another gains nothing.
     if snapshot.jobs[at].spec.shape == Shape::Array {
-        return false;
+        return 0;
+    }
+    if snapshot.jobs[at].spec.shape == Shape::Gang {
+        // Tried in thought first: half a gang's room is no use to anybody.
+        let mut trial = snapshot.clone();
+        let mut unused = Decisions::default();
+        if make_each(&mut trial, at, count, &mut unused) < count {
+            return 0;
+        }
     }
-    for _ in 0..count {
-        let Some((machine, victims, _)) = cheapest(snapshot, at, false) else { return false };
+    make_each(snapshot, at, count, decisions)
+}
+
+fn make_each(
+    snapshot: &mut Snapshot<'_>,
+    at: usize,
+    count: usize,
+    decisions: &mut Decisions,
+) -> usize {
+    for made in 0..count {
+        let Some((machine, victims, _)) = cheapest(snapshot, at, false) else { return made };
         stop_for(snapshot, at, machine, victims, decisions);
     }
-    true
+    count
 }
 
 /// Makes room on a machine that holds the job's image already, if the fetch
@@ -62,7 +80,9 @@
         decisions.stop.push(stop);
         snapshot.machines[machine].stopping.add(&Resources::of_task(&spec));
     }
-    snapshot.machines[machine].stopping.sub(&need);
+    // The room is held from now on: given to other work, it would have to be
+    // made again and again.
+    snapshot.machines[machine].free.sub(&need);
     let zone = snapshot.machines[machine].zone;
     snapshot.jobs[at].bound.push(super::BoundView {
         task: u32::MAX,
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -491,3 +491,46 @@
     let deletions = duty.leader.take_deletions();
     assert_eq!(deletions.iter().map(|m| &**m).collect::<Vec<_>>(), ["n-9"]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn room_made_for_a_gang_is_held_until_all_of_it_is_there() {
+    // Half of the room came free first, went back to the tasks that had just
+    // been stopped for it, and had to be made again, many times a second.
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    duty.report("n-2", 1, &[]);
+    let array = json!({"Spokes": 16, "Rank": "best_effort", "NotchS": 10.0, "StashS": 4.0});
+    duty.submit("j-000001", array);
+    let mut tasks: BTreeMap<&str, Vec<TaskReport>> = BTreeMap::new();
+    for _ in 0..24 {
+        duty.settle();
+        for machine in ["n-1", "n-2"] {
+            let on_it = tasks.entry(machine).or_default();
+            let orders = duty.report(machine, 1, on_it);
+            on_it.extend(ops(&orders, Op::Start).into_iter().map(running));
+        }
+    }
+    assert!(tasks.values().all(|t| t.len() == 8), "the array fills both machines");
+    duty.submit("j-000002", json!({"Shape": "ensemble", "Spokes": 2, "Gpus": 8.0, "Rank": "high"}));
+    duty.settle();
+    // One machine's tasks have saved and gone, the other's are still saving.
+    let gone: Vec<_> = tasks["n-1"]
+        .iter()
+        .map(|t| TaskReport { state: TaskState::Exited, cause: Some(Cause::Stopped), ..t.clone() })
+        .collect();
+    duty.report("n-1", 1, &gone);
+    for _ in 0..5 {
+        duty.settle();
+        duty.report("n-2", 1, &tasks["n-2"].clone());
+    }
+    let on_first = duty.bound("j-000001").iter().filter(|(_, m)| m == "n-1").count();
+    assert_eq!(on_first, 0, "the room is held for the gang");
+    let gone: Vec<_> = tasks["n-2"]
+        .iter()
+        .map(|t| TaskReport { state: TaskState::Exited, cause: Some(Cause::Stopped), ..t.clone() })
+        .collect();
+    duty.report("n-1", 1, &[]);
+    duty.report("n-2", 1, &gone);
+    duty.settle();
+    assert_eq!(duty.bound("j-000002").len(), 2);
+}
