Within a priority, work within its team's guarantee goes first

Cause: when rooms were scarce, jobs beyond their team's guarantee took places before jobs within theirs.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -933,6 +933,8 @@
                 let waited = (now - job.known_since).as_secs_f64();
                 if job.attempt > 0 { 0.0 } else { aim - waited }
             }),
+            // Known only once all jobs of the team are seen together.
+            guaranteed: false,
             held: job.held_until.is_some(),
             avoid: job.avoid.clone(),
         }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -102,6 +102,8 @@
     pub width: u32,
     /// Seconds left to meet its class's aim on waiting, if it has one.
     pub patience_s: Option<f64>,
+    /// Fits its team's guarantee together with the team's earlier jobs.
+    pub guaranteed: bool,
     /// Waits out a failure of its own.
     pub held: bool,
     /// Machines that failed its tasks.
@@ -174,13 +176,15 @@
 /// machines to rent for what is left.
 pub fn decide(mut snapshot: Snapshot<'_>) -> Decisions {
     let mut decisions = Decisions::default();
+    mark_guaranteed(&mut snapshot);
     admission::set_widths(&mut snapshot, &mut decisions);
     placement::place(&mut snapshot, &mut decisions);
     decisions
 }
 
-/// Priority, then work that needs most of a machine (others find room in what
-/// it can't use), then arrival: the order in which waiting work takes room.
+/// Priority, then work within its team's guarantee, then work that needs most
+/// of a machine (others find room in what it can't use), then arrival: the
+/// order in which waiting work takes room.
 pub fn order(snapshot: &Snapshot<'_>) -> Vec<usize> {
     let whole = |spec: &JobSpec| {
         let need = Resources::of_task(spec);
@@ -190,11 +194,27 @@
     order.sort_by_cached_key(|&at| {
         let job = &snapshot.jobs[at];
         let elastic = job.spec.shape == Shape::Array;
-        (std::cmp::Reverse(job.spec.priority), elastic, !whole(&job.spec), job.arrival)
+        let priority = std::cmp::Reverse(job.spec.priority);
+        (priority, elastic, !job.guaranteed, !whole(&job.spec), job.arrival)
     });
     order
 }
 
+/// Marks the jobs within their teams' guarantees: those that fit together
+/// with all earlier unfinished jobs of the team.
+fn mark_guaranteed(snapshot: &mut Snapshot<'_>) {
+    let mut asked: HashMap<Arc<str>, TeamUse> = HashMap::new();
+    for job in &mut snapshot.jobs {
+        let team = asked.entry(job.spec.team.clone()).or_default();
+        team.cpus += job.spec.cpus * f64::from(job.remaining);
+        team.gpus += job.spec.gpus * f64::from(job.remaining);
+        job.guaranteed = snapshot
+            .settings
+            .team(&job.spec.team)
+            .is_some_and(|t| t.guarantees(team.cpus, team.gpus));
+    }
+}
+
 /// How many more tasks of this need the team's limit allows.
 pub fn team_room(team: Option<&Team>, usage: &TeamUse, spec: &JobSpec) -> u32 {
     let Some(team) = team else { return 0 };
