--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,6 +1,6 @@
 //! The routes that users, the load balancer and workers call.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{convert::Infallible, sync::Arc};
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
@@ -156,17 +156,7 @@
             slot = slots.clone().acquire_owned() => slot,
             () = stop.cancelled() => break,
         };
-        let stream = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(e) => {
-                    debug!(error = %e, "accept");
-                    tokio::time::sleep(Duration::from_millis(10)).await;
-                    continue;
-                }
-            },
-            () = stop.cancelled() => break,
-        };
+        let Some(stream) = super::accept(&listener, &stop).await else { break };
         let _ = stream.set_nodelay(true);
         let inner = TowerToHyperService::new(service.clone());
         let service = service_fn(move |request: Request<Incoming>| {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -18,9 +18,9 @@
     sync::CancellationToken,
     task::TaskTracker,
 };
-use tracing::{debug, warn};
+use tracing::warn;
 
-use crate::{node::Node, protocol::Hello, state::lock};
+use crate::{http::accept, node::Node, protocol::Hello, state::lock};
 
 /// A greeting is a few dozen bytes; a longer frame is not one of ours.
 const FRAME_LIMIT: usize = 4096;
@@ -49,18 +49,7 @@
 /// Takes in the others' greetings.
 pub async fn listen(node: Arc<Node>, listener: TcpListener, stop: CancellationToken) {
     let links = TaskTracker::new();
-    loop {
-        let stream = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => stream,
-                Err(e) => {
-                    debug!(error = %e, "accept");
-                    tokio::time::sleep(Duration::from_millis(10)).await;
-                    continue;
-                }
-            },
-            () = stop.cancelled() => break,
-        };
+    while let Some(stream) = accept(&listener, &stop).await {
         let node = node.clone();
         let stop = stop.clone();
         links.spawn(async move {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -73,11 +73,6 @@
 }
 
 impl Team {
-    /// Whether so much in use stays within the team's limit.
-    pub fn allows(&self, cpus: f64, gpus: f64) -> bool {
-        within(cpus, self.cpus_max) && within(gpus, self.gpus_max)
-    }
-
     /// Whether so much in use lies within the team's guarantee. A team
     /// without any guarantee has nothing within it.
     pub fn guarantees(&self, cpus: f64, gpus: f64) -> bool {
@@ -398,9 +393,8 @@
     }
 
     #[test]
-    fn zero_means_no_limit_and_no_guarantee() {
+    fn zero_means_no_guarantee() {
         let team = Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 };
-        assert!(team.allows(1e9, 1e9));
         assert!(!team.guarantees(0.0, 0.0));
     }
 }
