--- a/src/controller.rs
+++ b/src/controller.rs
@@ -257,7 +257,6 @@
                     Machine::new(Arc::from(""), zone.unwrap_or_default(), false, now)
                 });
                 known.bound.insert((id.clone(), task));
-                known.replicas |= job.spec.shape == Shape::Service;
                 // What a former leader fetched there is known by what runs.
                 if !known.images.contains(&job.spec.image) {
                     known.images.push(job.spec.image.clone());
@@ -577,7 +576,6 @@
             machine.bound.remove(key);
             if machine.bound.is_empty() {
                 machine.idle_since = Some(now);
-                machine.replicas = false;
             }
         }
         if job.spec.shape == Shape::Gang && !done {
@@ -981,7 +979,6 @@
             }
             use_team(&mut self.usage, &job.spec, 1.0);
             machine.bound.insert((id.clone(), task));
-            machine.replicas |= job.spec.shape == Shape::Service;
             machine.idle_since = None;
             machine.images.retain(|i| *i != job.spec.image);
             machine.images.push(job.spec.image.clone());
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -100,8 +100,6 @@
     pub unsure: HashSet<(TaskKey, u64)>,
     /// Direct orders are under way.
     pub prompting: bool,
-    /// Holds replicas of services, whose users wait while it is silent.
-    pub replicas: bool,
     /// What tasks on the machine use that the leader has not bound there.
     pub strangers: Resources,
     /// Images fetched here, as far as the leader placed their tasks.
@@ -134,7 +132,6 @@
             bound: BTreeSet::new(),
             unsure: HashSet::new(),
             prompting: false,
-            replicas: false,
             strangers: Resources::default(),
             images: Vec::new(),
             notice_until: None,
@@ -291,12 +288,6 @@
             .values()
             .filter(|m| !m.bound.is_empty() && !m.mine && m.silence(now) > lease / 2)
             .count();
-        // A machine that misses most of its lease will rarely be back in time,
-        // and a deletion is proof at once. Many silent ones are more likely a
-        // cut, which heals: those keep their machines.
-        let silent =
-            self.machines.values().filter(|m| m.mine && m.silence(now) > lease / 2).count();
-        let some_silent = silent * 8 > self.machines.len();
         let patience =
             if missing * 4 > self.machines.len() { lease * 3 / 2 } else { lease * 3 / 4 };
         let mut found = Vec::new();
@@ -319,7 +310,6 @@
                 "it never booted"
             } else if silence > lease * 3
                 || (!machine.bound.is_empty() && !machine.mine && silence > patience)
-                || (machine.mine && machine.replicas && !some_silent && silence > lease * 3 / 5)
             {
                 // Tasks may still be bound to it if its worker was never seen
                 // at this token: only a deletion proves that they are gone.
