An answer to direct orders proves no absence

Cause, found by review: a start order may be under way in the answer to a worker's last report while the worker answers direct orders; a stopped or cancelled task that this answer lacks could still start there, and was free to start elsewhere. Test in tests/leader.rs.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -322,7 +322,7 @@
 
     /// Takes a report and answers with orders.
     pub fn on_report(&mut self, report: &Report, now: Instant) -> Result<Vec<Order>, Deposed> {
-        let orders = self.take_report(report, now)?;
+        let orders = self.take_report(report, false, now)?;
         for order in orders.iter().filter(|o| o.op == Op::Start) {
             if let Some(key) = parse_task(&order.task)
                 && let Some(binding) =
@@ -334,9 +334,15 @@
         Ok(orders)
     }
 
-    /// Takes a report, which may be the answer to direct orders, and tells
-    /// which orders are due.
-    fn take_report(&mut self, report: &Report, now: Instant) -> Result<Vec<Order>, Deposed> {
+    /// Takes a report and tells which orders are due. As the answer to direct
+    /// orders it proves no absence: the worker may still be waiting for an
+    /// answer to its last own report, with a start order in it.
+    fn take_report(
+        &mut self,
+        report: &Report,
+        direct: bool,
+        now: Instant,
+    ) -> Result<Vec<Order>, Deposed> {
         if report.token > self.token {
             return Err(Deposed);
         }
@@ -357,7 +363,7 @@
             .unwrap_or_default();
         let mut orders = Vec::new();
         for key in bound {
-            self.review(&key, reported.get(&key).copied(), report, &mut orders, now);
+            self.review(&key, reported.get(&key).copied(), report, direct, &mut orders, now);
         }
         self.review_strangers(&reported, report, &mut orders);
         if self.is_ready(&report.machine, now) != was_ready {
@@ -379,6 +385,7 @@
         key: &TaskKey,
         reported: Option<&TaskReport>,
         report: &Report,
+        direct: bool,
         orders: &mut Vec<Order>,
         now: Instant,
     ) {
@@ -390,7 +397,7 @@
         if binding.session != report.session {
             return;
         }
-        let unsure = machine.unsure.contains(&(key.clone(), binding.attempt));
+        let unsure = direct || machine.unsure.contains(&(key.clone(), binding.attempt));
         match reported.filter(|t| t.attempt == binding.attempt) {
             Some(task) if task.state == TaskState::Exited => {
                 machine.deaf = 0;
@@ -1078,7 +1085,7 @@
                 }
             }
         }
-        self.take_report(report, now).map(|_| ())
+        self.take_report(report, true, now).map(|_| ())
     }
 
     // The cloud's side.
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -534,3 +534,43 @@
     duty.settle();
     assert_eq!(duty.bound("j-000002").len(), 2);
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_to_direct_orders_proves_no_absence() {
+    // A start order may be under way in the answer to the worker's last report
+    // while the worker answers direct orders for another task.
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 1}));
+    duty.settle();
+    assert_eq!(ops(&duty.report("n-1", 1, &[]), Op::Start).len(), 1);
+    duty.submit("j-000002", json!({"Shape": "service", "Spokes": 1}));
+    duty.settle();
+    let (id, _, orders) = duty.leader.take_direct(duty.now)[0].clone();
+    duty.cancel("j-000001");
+    let listed: Vec<_> = ops(&orders.orders, Op::Start)
+        .into_iter()
+        .filter(|o| o.task.starts_with("j-000002"))
+        .map(running)
+        .collect();
+    assert_eq!(listed.len(), 1);
+    let answer = Report {
+        machine: id.clone(),
+        addr: "n-1".into(),
+        machine_type: "g8".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        seq: 9,
+        token: 5,
+        notice_s: None,
+        tasks: listed.clone(),
+    };
+    duty.leader.on_direct(&id, &orders, Some(&answer), duty.now).expect("leads");
+    duty.settle();
+    assert_eq!(duty.bound("j-000001").len(), 1, "it may still start there");
+    // The worker's next own report is proof.
+    duty.report_at("n-1", 10, 1, &listed);
+    duty.settle();
+    assert!(duty.bound("j-000001").is_empty());
+}
