--- a/src/controller.rs
+++ b/src/controller.rs
@@ -861,7 +861,7 @@
         }
         for id in decisions.awaited {
             if let Some(machine) = self.fleet.machines.get_mut(&id) {
-                machine.idle_since = None;
+                machine.idle_since = machine.heard().then_some(now);
             }
         }
         self.rent(decisions.rent);
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -168,7 +168,7 @@
     pub widths: Vec<(JobId, u32)>,
     /// (type, zone, spot, how many)
     pub rent: Vec<(usize, u8, bool, u32)>,
-    /// Booting machines that waiting work counts on.
+    /// Machines, booting or held, that waiting work counts on.
     pub awaited: Vec<MachineId>,
 }
 
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -71,6 +71,13 @@
         let usage = snapshot.usage.entry(spec.team.clone()).or_default();
         usage.cpus += spec.cpus * tasks.len() as f64;
         usage.gpus += spec.gpus * tasks.len() as f64;
+        if spec.shape == Shape::Gang && found.len() < tasks.len() {
+            if preemption::make_room(snapshot, at, tasks.len(), decisions) < tasks.len() {
+                let rest = hold_part(snapshot, at, found, &tasks, decisions);
+                lacking.push((at, rest));
+            }
+            continue;
+        }
         for (&task, &machine) in tasks.iter().zip(&found) {
             let id = snapshot.machines[machine].id.clone();
             decisions.place.push((snapshot.jobs[at].id.clone(), task, id));
@@ -87,6 +94,24 @@
     rent(snapshot, &lacking, decisions);
 }
 
+/// Holds what part of a gang's room is there, until the rest is: given to
+/// small work meanwhile, it would never be whole at one time. Returns the
+/// tasks that lack room.
+fn hold_part(
+    snapshot: &mut Snapshot<'_>,
+    at: usize,
+    found: Vec<usize>,
+    tasks: &[u32],
+    decisions: &mut Decisions,
+) -> Vec<u32> {
+    let rest = tasks[found.len()..].to_vec();
+    for machine in found {
+        decisions.awaited.push(snapshot.machines[machine].id.clone());
+        bind_in_thought(snapshot, at, machine);
+    }
+    rest
+}
+
 /// Keeps a replica from a machine that would first fetch its image, if one
 /// that holds the image can be had at a smaller loss.
 fn without_fetches(
@@ -125,7 +150,7 @@
     }
 }
 
-/// Machines for up to `count` more tasks of a job; a gang gets all or none.
+/// Machines for up to `count` more tasks of a job, in one zone if it must be.
 fn find(snapshot: &Snapshot<'_>, at: usize, count: usize, ready: bool) -> Vec<usize> {
     let job = &snapshot.jobs[at];
     let zones = Zones::of(job, |z| snapshot.settings.zone_index(z));
@@ -142,19 +167,33 @@
         })
         .collect();
     if job.spec.one_zone && job.spec.tasks > 1 && job.bound.is_empty() {
-        // The zone that takes the most tasks takes them all.
+        // The zone that takes the most tasks takes them all; if none takes
+        // all, rather one where more machines can be had.
         return (0..snapshot.settings.cluster.zones.len() as u8)
             .map(|zone| {
                 let here: Vec<usize> =
                     open.iter().copied().filter(|&m| snapshot.machines[m].zone == zone).collect();
-                fill(snapshot, job, &here, count, zones.clone())
+                (zone, fill(snapshot, job, &here, count, zones.clone()))
+            })
+            .max_by_key(|(zone, found)| {
+                (found.len() == count || obtainable(snapshot, job, *zone), found.len())
             })
-            .max_by_key(Vec::len)
+            .map(|(_, found)| found)
             .unwrap_or_default();
     }
     fill(snapshot, job, &open, count, zones)
 }
 
+/// Whether the cloud may have machines for a job in this zone.
+fn obtainable(snapshot: &Snapshot<'_>, job: &JobView, zone: u8) -> bool {
+    snapshot.types.iter().enumerate().any(|(kind, t)| {
+        let here = t.zones.iter().any(|z| snapshot.settings.zone_index(z) == Some(zone));
+        here && [false, true].iter().any(|&spot| {
+            allows(&job.spec, t, spot) && !snapshot.refused.contains(&(kind, zone, spot))
+        })
+    })
+}
+
 fn spot_obtainable(snapshot: &Snapshot<'_>, job: &JobView) -> bool {
     let zones = Zones::of(job, |z| snapshot.settings.zone_index(z));
     snapshot.types.iter().enumerate().any(|(kind, t)| {
@@ -190,9 +229,6 @@
         zones.take(snapshot.machines[m].zone);
         found.push(m);
     }
-    if job.spec.shape == Shape::Gang && found.len() < count {
-        found.clear();
-    }
     found
 }
 
--- a/src/scheduler/preemption.rs
+++ b/src/scheduler/preemption.rs
@@ -13,32 +13,73 @@
     count: usize,
     decisions: &mut Decisions,
 ) -> usize {
+    let shape = snapshot.jobs[at].spec.shape;
     // Arrays wait for machines: stopping one task for another gains nothing.
-    if snapshot.jobs[at].spec.shape == Shape::Array {
+    if shape == Shape::Array || count == 0 {
         return 0;
     }
-    if snapshot.jobs[at].spec.shape == Shape::Gang {
-        // Tried in thought first: half a gang's room is no use to anybody.
-        let mut trial = snapshot.clone();
-        let mut unused = Decisions::default();
-        if make_each(&mut trial, at, count, &mut unused) < count {
-            return 0;
+    if shape == Shape::Service {
+        let made = make_each(snapshot, at, count, None, decisions);
+        return made.len();
+    }
+    // Half a gang's room is no use to anybody. The machine where one task
+    // loses the least may lie in a zone that has no room for the next.
+    let job = &snapshot.jobs[at];
+    let zones: Vec<Option<u8>> = if job.spec.one_zone && job.bound.is_empty() {
+        (0..snapshot.settings.cluster.zones.len() as u8).map(Some).collect()
+    } else {
+        vec![None]
+    };
+    let mut best: Option<(f64, Option<u8>)> = None;
+    for zone in zones {
+        let mut tried = Decisions::default();
+        let made = make_each(snapshot, at, count, zone, &mut tried);
+        let loss: f64 = made.iter().map(|m| m.loss_s).sum();
+        if made.len() == count && best.is_none_or(|(least, _)| loss < least) {
+            best = Some((loss, zone));
         }
+        take_back(snapshot, at, made);
     }
-    make_each(snapshot, at, count, decisions)
+    let Some((_, zone)) = best else { return 0 };
+    make_each(snapshot, at, count, zone, decisions).len()
+}
+
+/// Room made for one task.
+struct Made {
+    machine: usize,
+    victims: Vec<Victim>,
+    loss_s: f64,
 }
 
 fn make_each(
     snapshot: &mut Snapshot<'_>,
     at: usize,
     count: usize,
+    zone: Option<u8>,
     decisions: &mut Decisions,
-) -> usize {
-    for made in 0..count {
-        let Some((machine, victims, _)) = cheapest(snapshot, at, false) else { return made };
-        stop_for(snapshot, at, machine, victims, decisions);
+) -> Vec<Made> {
+    let mut made = Vec::new();
+    while made.len() < count
+        && let Some(room) = cheapest(snapshot, at, false, zone)
+    {
+        stop_for(snapshot, at, &room, decisions);
+        made.push(room);
+    }
+    made
+}
+
+/// Undoes in the snapshot what `make_each` did there.
+fn take_back(snapshot: &mut Snapshot<'_>, at: usize, made: Vec<Made>) {
+    let need = Resources::of_task(&snapshot.jobs[at].spec);
+    for room in made {
+        let machine = &mut snapshot.machines[room.machine];
+        machine.free.add(&need);
+        for (job, slot) in room.victims {
+            machine.stopping.sub(&Resources::of_task(&snapshot.jobs[job].spec));
+            snapshot.jobs[job].bound[slot].stopping = false;
+        }
+        snapshot.jobs[at].bound.pop();
     }
-    count
 }
 
 /// Makes room on a machine that holds the job's image already, if the fetch
@@ -49,26 +90,21 @@
     fetch_s: f64,
     decisions: &mut Decisions,
 ) -> bool {
-    match cheapest(snapshot, at, true) {
-        Some((machine, victims, loss_s)) if loss_s < fetch_s => {
-            stop_for(snapshot, at, machine, victims, decisions);
+    match cheapest(snapshot, at, true, None) {
+        Some(room) if room.loss_s < fetch_s => {
+            stop_for(snapshot, at, &room, decisions);
             true
         }
         _ => false,
     }
 }
 
-fn stop_for(
-    snapshot: &mut Snapshot<'_>,
-    at: usize,
-    machine: usize,
-    victims: Vec<Victim>,
-    decisions: &mut Decisions,
-) {
+fn stop_for(snapshot: &mut Snapshot<'_>, at: usize, room: &Made, decisions: &mut Decisions) {
+    let machine = room.machine;
     let need = Resources::of_task(&snapshot.jobs[at].spec);
     // Saving takes time that a tight aim on waiting may not have.
     let patience_s = snapshot.jobs[at].patience_s;
-    for (job, slot) in victims {
+    for &(job, slot) in &room.victims {
         let spec = snapshot.jobs[job].spec.clone();
         let bound = &mut snapshot.jobs[job].bound[slot];
         bound.stopping = true;
@@ -98,7 +134,7 @@
 
 /// The machine where one task finds room at the least loss, with the tasks
 /// (job, slot) to stop there: none if tasks already being stopped suffice.
-fn cheapest(snapshot: &Snapshot<'_>, at: usize, cached: bool) -> Option<(usize, Vec<Victim>, f64)> {
+fn cheapest(snapshot: &Snapshot<'_>, at: usize, cached: bool, zone: Option<u8>) -> Option<Made> {
     let job = &snapshot.jobs[at];
     let need = Resources::of_task(&job.spec);
     let zones = Zones::of(job, |z| snapshot.settings.zone_index(z));
@@ -106,6 +142,7 @@
     for (m, machine) in snapshot.machines.iter().enumerate() {
         if !machine.ready
             || !zones.allow(machine.zone)
+            || zone.is_some_and(|z| z != machine.zone)
             || !allows(&job.spec, &snapshot.types[machine.kind], machine.spot)
             || job.avoid.contains(&machine.id)
             || (cached && !machine.images.contains(&job.spec.image))
@@ -142,5 +179,5 @@
             best = Some((loss, m, victims));
         }
     }
-    best.map(|(loss, machine, victims)| (machine, victims, loss))
+    best.map(|(loss_s, machine, victims)| Made { machine, victims, loss_s })
 }
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -574,3 +574,24 @@
     duty.settle();
     assert!(duty.bound("j-000001").is_empty());
 }
+
+#[tokio::test(start_paused = true)]
+async fn part_of_a_gangs_room_is_held_for_it() {
+    // Single machines came free one after the other, and small replicas took
+    // each before the gang's second was there: it waited for minutes.
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    duty.submit("j-000001", json!({"Shape": "ensemble", "Spokes": 2, "Gpus": 8.0, "Rank": "high"}));
+    duty.submit("j-000002", json!({"Shape": "service", "Spokes": 1, "Gpus": 2.0, "Rank": "high"}));
+    duty.settle();
+    assert_eq!(duty.bound("j-000002"), [], "the machine is held");
+    let rentals = duty.leader.take_rentals();
+    assert_eq!(
+        rentals.iter().map(|r| r.count).sum::<u32>(),
+        2,
+        "one for the gang, one for the replica"
+    );
+    duty.report("n-2", 1, &[]);
+    duty.settle();
+    assert_eq!(duty.bound("j-000001").len(), 2);
+}
