--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1321,7 +1321,10 @@
     /// One line for the operator.
     pub fn summary(&self, now: Instant) -> String {
         let report = self.settings.report();
-        let (mut ready, mut idle, mut booting, mut used, mut total) = (0, 0, 0, 0.0, 0.0);
+        let (mut ready, mut idle, mut booting) = (0, 0, 0);
+        // GPUs in use and held, on spot machines [0] and ordinary ones [1];
+        // and what work that may use spot machines has of the latter.
+        let (mut used, mut held, mut misplaced) = ([0.0; 2], [0.0; 2], 0.0);
         for machine in self.fleet.machines.values() {
             if !machine.heard() {
                 booting += 1;
@@ -1329,17 +1332,26 @@
             }
             ready += u32::from(machine.ready(now, report));
             idle += u32::from(machine.bound.is_empty());
-            total +=
+            let at = usize::from(!machine.spot);
+            held[at] +=
                 self.types.iter().find(|t| t.name == machine.machine_type).map_or(0.0, |t| t.gpus);
-            for (job, _) in &machine.bound {
-                used += self.jobs.get(job).map_or(0.0, |j| j.spec.gpus);
+            for spec in machine.bound.iter().filter_map(|(job, _)| Some(&self.jobs.get(job)?.spec))
+            {
+                used[at] += spec.gpus;
+                if spec.spot && !machine.spot {
+                    misplaced += spec.gpus;
+                }
             }
         }
         let waiting =
             self.jobs.values().filter(|j| j.bound.is_empty() && j.ended.is_none()).count();
         format!(
-            "jobs {} (waiting {waiting}), GPUs {used} of {total}, machines {} (booting {booting}, ready {ready}, idle {idle})",
+            "jobs {} (waiting {waiting}), GPUs {} of {} ordinary ({misplaced} by work for spot) and {} of {} spot, machines {} (booting {booting}, ready {ready}, idle {idle})",
             self.jobs.len(),
+            used[1],
+            held[1],
+            used[0],
+            held[0],
             self.fleet.machines.len()
         )
     }
