Replicas move into holes to make room for waiting gangs

Change: once a round, where no machine can come, the machines in one zone that are cleared with the least moving are cleared for the gang, if all replicas on them have places elsewhere; those places are held until the replicas are gone. Tasks on a machine are looked up by machine instead of by a scan of all jobs.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -29,6 +29,10 @@
 /// Boots usually end within one and a half of the type's boot time.
 const OVERDUE_BOOTS: f64 = 1.6;
 
+/// A start counts for its job's aims unless the task is stopped by command
+/// within this time, so nothing is moved before then.
+const SETTLED_S: f64 = 30.0;
+
 /// A task on its machine, until proof that it is gone.
 #[derive(Clone, Debug)]
 struct Binding {
@@ -856,7 +860,7 @@
         }
         self.bind(decisions.place);
         for stopping in decisions.stop {
-            info!(job = %stopping.job, task = stopping.task, at_once = stopping.at_once, "stopped for work of higher priority");
+            info!(job = %stopping.job, task = stopping.task, at_once = stopping.at_once, "stopped to make room");
             self.stop(&(stopping.job, stopping.task), stopping.at_once, now);
         }
         for id in decisions.awaited {
@@ -924,6 +928,7 @@
                     machine: index.get(&b.machine).copied(),
                     zone: b.zone,
                     stopping: b.stop.is_some(),
+                    settled: ran > SETTLED_S,
                     loss_s: lost,
                 }
             })
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 //! from its snapshot.
 
 pub mod admission;
+pub mod moving;
 pub mod optimizer;
 pub mod placement;
 pub mod preemption;
@@ -83,6 +84,8 @@
     pub machine: Option<usize>,
     pub zone: u8,
     pub stopping: bool,
+    /// Has run for long enough to be moved without harm to any aim.
+    pub settled: bool,
     /// Seconds of work that stopping it now would lose.
     pub loss_s: f64,
 }
@@ -152,7 +155,25 @@
     pub round: bool,
 }
 
-/// A task to stop for work of higher priority.
+/// A bound task: the job's place in the snapshot and the binding's in the job.
+pub type Slot = (usize, usize);
+
+impl Snapshot<'_> {
+    /// The tasks bound to each machine.
+    fn residents(&self) -> Vec<Vec<Slot>> {
+        let mut residents = vec![Vec::new(); self.machines.len()];
+        for (at, job) in self.jobs.iter().enumerate() {
+            for (slot, bound) in job.bound.iter().enumerate() {
+                if let Some(machine) = bound.machine {
+                    residents[machine].push((at, slot));
+                }
+            }
+        }
+        residents
+    }
+}
+
+/// A task to stop for work of higher priority, or to move.
 #[derive(Debug, PartialEq)]
 pub struct Stopping {
     pub job: JobId,
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -4,7 +4,10 @@
 
 use crate::protocol::{JobSpec, MachineId, MachineType, Shape};
 
-use super::{Decisions, JobView, MachineView, Resources, Snapshot, order, preemption, team_room};
+use super::{
+    Decisions, JobView, MachineView, Resources, Slot, Snapshot, moving, order, preemption,
+    team_room,
+};
 
 /// Whether a job may use machines of this kind, zone aside.
 pub fn allows(spec: &JobSpec, kind: &MachineType, spot: bool) -> bool {
@@ -50,7 +53,10 @@
 
 pub fn place(snapshot: &mut Snapshot<'_>, decisions: &mut Decisions) {
     let mut lacking: Vec<(usize, Vec<u32>)> = Vec::new();
+    // What is only placed in thought here is not yet anybody's to stop.
+    let residents = snapshot.residents();
     for at in order(snapshot) {
+        moving::hold_next_places(snapshot, at);
         let job = &snapshot.jobs[at];
         let wanted = job.startable();
         if wanted == 0 {
@@ -66,15 +72,21 @@
         let mut found = find(snapshot, at, tasks.len(), true);
         let wanted_here = found.len();
         if spec.shape == Shape::Service {
-            found = without_fetches(snapshot, at, found, decisions);
+            found = without_fetches(snapshot, &residents, at, found, decisions);
         }
         let usage = snapshot.usage.entry(spec.team.clone()).or_default();
         usage.cpus += spec.cpus * tasks.len() as f64;
         usage.gpus += spec.gpus * tasks.len() as f64;
         if spec.shape == Shape::Gang && found.len() < tasks.len() {
-            if preemption::make_room(snapshot, at, tasks.len(), decisions) < tasks.len() {
+            let count = tasks.len();
+            if preemption::make_room(snapshot, &residents, at, count, decisions) == count {
+                continue;
+            }
+            if comes(snapshot, at, &found, count) {
                 let rest = hold_part(snapshot, at, found, &tasks, decisions);
                 lacking.push((at, rest));
+            } else if !moving::make_room(snapshot, &residents, at, count, decisions) {
+                lacking.push((at, tasks));
             }
             continue;
         }
@@ -85,7 +97,7 @@
         }
         // Tasks that wait for cached room are neither placed nor lacking room.
         let mut rest = tasks[found.len().max(wanted_here)..].to_vec();
-        let made = preemption::make_room(snapshot, at, rest.len(), decisions);
+        let made = preemption::make_room(snapshot, &residents, at, rest.len(), decisions);
         rest.drain(..made);
         if !rest.is_empty() {
             lacking.push((at, rest));
@@ -94,6 +106,24 @@
     rent(snapshot, &lacking, decisions);
 }
 
+/// Whether the rest of a gang's room will come by itself: machines that boot
+/// or can be rented in the zone where the gang has found some.
+fn comes(snapshot: &Snapshot<'_>, at: usize, found: &[usize], count: usize) -> bool {
+    let job = &snapshot.jobs[at];
+    let zone = found.first().map(|&m| snapshot.machines[m].zone);
+    let zone = zone.filter(|_| job.spec.one_zone);
+    let need = Resources::of_task(&job.spec);
+    let zones = 0..snapshot.settings.cluster.zones.len() as u8;
+    let booting = snapshot.machines.iter().filter(|m| {
+        !m.ready
+            && zone.is_none_or(|z| z == m.zone)
+            && allows(&job.spec, &snapshot.types[m.kind], m.spot)
+            && m.free.holds(&need)
+    });
+    zones.filter(|z| zone.is_none_or(|zone| zone == *z)).any(|z| obtainable(snapshot, job, z))
+        || booting.count() >= count - found.len()
+}
+
 /// Holds what part of a gang's room is there, until the rest is: given to
 /// small work meanwhile, it would never be whole at one time. Returns the
 /// tasks that lack room.
@@ -116,6 +146,7 @@
 /// that holds the image can be had at a smaller loss.
 fn without_fetches(
     snapshot: &mut Snapshot<'_>,
+    residents: &[Vec<Slot>],
     at: usize,
     found: Vec<usize>,
     decisions: &mut Decisions,
@@ -124,7 +155,8 @@
         .into_iter()
         .filter(|&m| {
             let fetch_s = fetch_s(snapshot, at, m);
-            fetch_s <= 0.0 || !preemption::make_cached_room(snapshot, at, fetch_s, decisions)
+            fetch_s <= 0.0
+                || !preemption::make_cached_room(snapshot, residents, at, fetch_s, decisions)
         })
         .collect()
 }
@@ -140,6 +172,7 @@
     }
 }
 
+/// Takes a place out of the snapshot.
 fn hold(snapshot: &mut Snapshot<'_>, at: usize, machine: usize) {
     let spec = &snapshot.jobs[at].spec;
     let view = &mut snapshot.machines[machine];
@@ -151,7 +184,7 @@
 }
 
 /// Machines for up to `count` more tasks of a job, in one zone if it must be.
-fn find(snapshot: &Snapshot<'_>, at: usize, count: usize, ready: bool) -> Vec<usize> {
+pub fn find(snapshot: &Snapshot<'_>, at: usize, count: usize, ready: bool) -> Vec<usize> {
     let job = &snapshot.jobs[at];
     let zones = Zones::of(job, |z| snapshot.settings.zone_index(z));
     // An empty ordinary machine is dear and wanted whole by others: work that
@@ -329,7 +362,7 @@
     kinds.first().map(|(_, _, key)| *key)
 }
 
-fn bind_in_thought(snapshot: &mut Snapshot<'_>, at: usize, machine: usize) {
+pub fn bind_in_thought(snapshot: &mut Snapshot<'_>, at: usize, machine: usize) {
     hold(snapshot, at, machine);
     let zone = snapshot.machines[machine].zone;
     snapshot.jobs[at].bound.push(super::BoundView {
@@ -337,6 +370,7 @@
         machine: Some(machine),
         zone,
         stopping: false,
+        settled: false,
         loss_s: 0.0,
     });
 }
--- a/src/scheduler/preemption.rs
+++ b/src/scheduler/preemption.rs
@@ -2,13 +2,14 @@
 
 use crate::protocol::Shape;
 
-use super::{Decisions, Resources, Snapshot, Stopping, placement::Zones, placement::allows};
+use super::{Decisions, Resources, Slot, Snapshot, Stopping, placement::Zones, placement::allows};
 
 /// Makes room for `count` tasks of a job by stopping work of lower priority,
 /// the least lost work first, and holds that room for them. Returns for how
 /// many tasks it did; for a gang that is all or none.
 pub fn make_room(
     snapshot: &mut Snapshot<'_>,
+    residents: &[Vec<Slot>],
     at: usize,
     count: usize,
     decisions: &mut Decisions,
@@ -19,7 +20,7 @@
         return 0;
     }
     if shape == Shape::Service {
-        let made = make_each(snapshot, at, count, None, decisions);
+        let made = make_each(snapshot, residents, at, count, None, decisions);
         return made.len();
     }
     // Half a gang's room is no use to anybody. The machine where one task
@@ -33,7 +34,7 @@
     let mut best: Option<(f64, Option<u8>)> = None;
     for zone in zones {
         let mut tried = Decisions::default();
-        let made = make_each(snapshot, at, count, zone, &mut tried);
+        let made = make_each(snapshot, residents, at, count, zone, &mut tried);
         let loss: f64 = made.iter().map(|m| m.loss_s).sum();
         if made.len() == count && best.is_none_or(|(least, _)| loss < least) {
             best = Some((loss, zone));
@@ -41,18 +42,19 @@
         take_back(snapshot, at, made);
     }
     let Some((_, zone)) = best else { return 0 };
-    make_each(snapshot, at, count, zone, decisions).len()
+    make_each(snapshot, residents, at, count, zone, decisions).len()
 }
 
 /// Room made for one task.
 struct Made {
     machine: usize,
-    victims: Vec<Victim>,
+    victims: Vec<Slot>,
     loss_s: f64,
 }
 
 fn make_each(
     snapshot: &mut Snapshot<'_>,
+    residents: &[Vec<Slot>],
     at: usize,
     count: usize,
     zone: Option<u8>,
@@ -60,7 +62,7 @@
 ) -> Vec<Made> {
     let mut made = Vec::new();
     while made.len() < count
-        && let Some(room) = cheapest(snapshot, at, false, zone)
+        && let Some(room) = cheapest(snapshot, residents, at, false, zone)
     {
         stop_for(snapshot, at, &room, decisions);
         made.push(room);
@@ -86,11 +88,12 @@
 /// elsewhere would take longer than the work lost by it.
 pub fn make_cached_room(
     snapshot: &mut Snapshot<'_>,
+    residents: &[Vec<Slot>],
     at: usize,
     fetch_s: f64,
     decisions: &mut Decisions,
 ) -> bool {
-    match cheapest(snapshot, at, true, None) {
+    match cheapest(snapshot, residents, at, true, None) {
         Some(room) if room.loss_s < fetch_s => {
             stop_for(snapshot, at, &room, decisions);
             true
@@ -125,20 +128,24 @@
         machine: Some(machine),
         zone,
         stopping: true,
+        settled: false,
         loss_s: 0.0,
     });
 }
 
-/// A bound task: the job's place in the snapshot and the binding's in the job.
-type Victim = (usize, usize);
-
 /// The machine where one task finds room at the least loss, with the tasks
 /// (job, slot) to stop there: none if tasks already being stopped suffice.
-fn cheapest(snapshot: &Snapshot<'_>, at: usize, cached: bool, zone: Option<u8>) -> Option<Made> {
+fn cheapest(
+    snapshot: &Snapshot<'_>,
+    residents: &[Vec<Slot>],
+    at: usize,
+    cached: bool,
+    zone: Option<u8>,
+) -> Option<Made> {
     let job = &snapshot.jobs[at];
     let need = Resources::of_task(&job.spec);
     let zones = Zones::of(job, |z| snapshot.settings.zone_index(z));
-    let mut best: Option<(f64, usize, Vec<Victim>)> = None;
+    let mut best: Option<(f64, usize, Vec<Slot>)> = None;
     for (m, machine) in snapshot.machines.iter().enumerate() {
         if !machine.ready
             || !zones.allow(machine.zone)
@@ -152,16 +159,16 @@
         let mut room = machine.free;
         room.add(&machine.stopping);
         let mut candidates: Vec<(f64, usize, usize)> = Vec::new();
-        for (j, other) in snapshot.jobs.iter().enumerate() {
+        for &(j, slot) in residents.get(m).into_iter().flatten() {
+            let other = &snapshot.jobs[j];
+            let bound = &other.bound[slot];
             // Only arrays: stopping a replica or a gang costs its whole job,
             // and work that is dearer to stop waits for a rented machine.
-            if other.spec.priority >= job.spec.priority || other.spec.shape != Shape::Array {
-                continue;
-            }
-            for (slot, bound) in other.bound.iter().enumerate() {
-                if bound.machine == Some(m) && !bound.stopping && bound.task != u32::MAX {
-                    candidates.push((bound.loss_s, j, slot));
-                }
+            if other.spec.priority < job.spec.priority
+                && other.spec.shape == Shape::Array
+                && !bound.stopping
+            {
+                candidates.push((bound.loss_s, j, slot));
             }
         }
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
