--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -207,16 +207,12 @@
 /// of a machine (others find room in what it can't use), then arrival: the
 /// order in which waiting work takes room.
 pub fn order(snapshot: &Snapshot<'_>) -> Vec<usize> {
-    let whole = |spec: &JobSpec| {
-        let need = Resources::of_task(spec);
-        snapshot.types.iter().all(|t| need.share_of(&Resources::of_type(t)) > 0.5)
-    };
     let mut order: Vec<usize> = (0..snapshot.jobs.len()).collect();
     order.sort_by_cached_key(|&at| {
         let job = &snapshot.jobs[at];
         let elastic = job.spec.shape == Shape::Array;
         let priority = std::cmp::Reverse(job.spec.priority);
-        (priority, elastic, !job.guaranteed, !whole(&job.spec), job.arrival)
+        (priority, elastic, !job.guaranteed, job.arrival)
     });
     order
 }
