--- a/src/scheduler/moving.rs
+++ b/src/scheduler/moving.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Decisions, Resources, Slot, Snapshot, Stopping,
-    placement::{Zones, allows, bind_in_thought, find},
+    placement::{Zones, allows, bind_in_thought, fetch_s, find},
 };
 
 /// Makes room for all tasks of a gang by moving replicas that have room
@@ -128,7 +128,9 @@
         if snapshot.jobs[job].spec.shape != Shape::Service {
             continue;
         }
-        let Some(&place) = find(snapshot, job, 1, true).first() else {
+        // A move that fetches an image takes its replica away for too long.
+        let place = find(snapshot, job, 1, true).first().copied();
+        let Some(place) = place.filter(|&m| fetch_s(snapshot, job, m) <= 0.0) else {
             *snapshot = before;
             return false;
         };
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -162,7 +162,7 @@
 }
 
 /// How long a machine needs for a job's image, if it has to be fetched.
-fn fetch_s(snapshot: &Snapshot<'_>, at: usize, machine: usize) -> f64 {
+pub fn fetch_s(snapshot: &Snapshot<'_>, at: usize, machine: usize) -> f64 {
     let (job, view) = (&snapshot.jobs[at], &snapshot.machines[machine]);
     let rate = snapshot.types[view.kind].fetch_gb_per_s;
     if rate <= 0.0 || view.images.contains(&job.spec.image) {
