Replicas on little used machines move together, so that machines can be returned

Change: in a round in which nothing lacks room, machines at most half used whose replicas all have places, with their images, on machines in use are cleared; not below the room that is kept ready.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -848,6 +848,10 @@
             usage: self.usage.clone(),
             refused: self.refused.keys().copied().collect(),
             spare: self.spare_machines(),
+            spare_room: {
+                let (empty, room) = self.spare();
+                empty as f64 + room
+            },
             round,
         };
         let decisions = scheduler::decide(snapshot);
--- a/src/scheduler/moving.rs
+++ b/src/scheduler/moving.rs
@@ -153,6 +153,89 @@
     });
 }
 
+/// Clears machines that hold little, so that they can be returned: as load
+/// runs out, what is left would keep many half-empty machines for long.
+pub fn gather(snapshot: &mut Snapshot<'_>, residents: &[Vec<Slot>], decisions: &mut Decisions) {
+    let load = |snapshot: &Snapshot<'_>, m: usize| {
+        let total = Resources::of_type(&snapshot.types[snapshot.machines[m].kind]);
+        let mut used = total;
+        used.sub(&snapshot.machines[m].free);
+        used.share_of(&total)
+    };
+    let ordinary: Vec<usize> = (0..residents.len())
+        .filter(|&m| snapshot.machines[m].ready && !snapshot.machines[m].spot)
+        .collect();
+    // One machine less must still leave the room that is kept ready.
+    let mut room: f64 = ordinary.iter().map(|&m| 1.0 - load(snapshot, m)).sum();
+    let mut sources: Vec<(f64, usize)> = ordinary
+        .into_iter()
+        .filter(|&m| {
+            let movable = |&(job, slot): &Slot| {
+                let job = &snapshot.jobs[job];
+                let bound = &job.bound[slot];
+                job.spec.shape == Shape::Service && bound.settled && !bound.stopping
+            };
+            !residents[m].is_empty()
+                && residents[m].iter().all(movable)
+                && snapshot.machines[m].stopping == Resources::default()
+        })
+        .map(|m| (load(snapshot, m), m))
+        .filter(|(load, _)| *load <= 0.5)
+        .collect();
+    sources.sort_by(|a, b| a.0.total_cmp(&b.0));
+    for (_, machine) in sources {
+        if room - 1.0 < snapshot.spare_room {
+            break;
+        }
+        // Taken in by a move just decided.
+        let taken_in = residents[machine].len() != bound_count(snapshot, machine);
+        if !taken_in && clear(snapshot, &residents[machine], machine, decisions) {
+            room -= 1.0;
+        }
+    }
+}
+
+fn bound_count(snapshot: &Snapshot<'_>, machine: usize) -> usize {
+    let here = |b: &&super::BoundView| b.machine == Some(machine);
+    snapshot.jobs.iter().map(|j| j.bound.iter().filter(here).count()).sum()
+}
+
+/// Moves all of a machine's replicas to machines in use that hold their
+/// images; all of them or none.
+fn clear(
+    snapshot: &mut Snapshot<'_>,
+    residents: &[Slot],
+    machine: usize,
+    decisions: &mut Decisions,
+) -> bool {
+    let ready = std::mem::replace(&mut snapshot.machines[machine].ready, false);
+    let mut moves: Vec<(Slot, usize)> = Vec::new();
+    for &(job, slot) in residents {
+        snapshot.jobs[job].bound[slot].stopping = true;
+        let place = find(snapshot, job, 1, true).first().copied();
+        let fits = |&m: &usize| !snapshot.machines[m].empty && fetch_s(snapshot, job, m) <= 0.0;
+        let Some(place) = place.filter(fits) else {
+            snapshot.jobs[job].bound[slot].stopping = false;
+            for &((job, slot), place) in &moves {
+                snapshot.jobs[job].bound[slot].stopping = false;
+                snapshot.jobs[job].bound.pop();
+                let need = Resources::of_task(&snapshot.jobs[job].spec);
+                snapshot.machines[place].free.add(&need);
+            }
+            snapshot.machines[machine].ready = ready;
+            return false;
+        };
+        bind_in_thought(snapshot, job, place);
+        moves.push(((job, slot), place));
+    }
+    for ((job, slot), _) in moves {
+        let job = &snapshot.jobs[job];
+        let task = job.bound[slot].task;
+        decisions.stop.push(Stopping { job: job.id.clone(), task, at_once: false });
+    }
+    true
+}
+
 /// Replicas being stopped start again as soon as they are gone: their next
 /// places are held till then, or others would take them in between.
 pub fn hold_next_places(snapshot: &mut Snapshot<'_>, at: usize) {
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -103,6 +103,9 @@
             lacking.push((at, rest));
         }
     }
+    if snapshot.round && lacking.is_empty() {
+        moving::gather(snapshot, &residents, decisions);
+    }
     rent(snapshot, &lacking, decisions);
 }
 
