Controllers keep workers' leases alive while nobody can lead

Change: a controller that can't reach the store, doesn't lead and heard no leader for a quarter of a worker lease answers reports with the worker's own token and no orders. So that this voids no leader's proof by lease, greetings carry promises (caretaking.rs); a leader without promises returns silent machines instead, and the cloud's answer is the proof. Caretaking ends early enough for a cancelled task's lease to run out within cancel_s. Stories: all controllers end in an outage and nothing is restarted; a cancelled task; a worker that only a cut-off node hears (fails without the promises).

--- /dev/null
+++ b/src/caretaking.rs
@@ -0,0 +1,168 @@
+//! Keeping tasks alive while nobody can lead.
+//!
+//! A leader that ends within an outage of the state service has no successor
+//! until the outage ends, and worker leases are shorter than most outages. So
+//! other controllers answer reports meanwhile, with the token that the worker
+//! knows and without orders: that renews its lease and starts nothing.
+//!
+//! Such answers would void a leader's proof that a silent worker's tasks are
+//! gone (`fleet.rs`). What keeps both apart are promises: a controller that
+//! hears a leader's greeting answers no report for a while, and says in its
+//! own next greeting which one it heard. A leader uses the proof only while
+//! promises of all others have covered the whole time that the proof counts.
+//! Greetings may come late or not at all: the leader counts a promise from
+//! when it *sent* what was heard, and without promises it has no proof.
+//!
+//! Nobody can be told to stop a cancelled job's tasks meanwhile. So caretaking
+//! ends early enough for their leases to run out within `cancel_s`.
+
+use std::collections::{HashMap, VecDeque};
+
+use tokio::time::{Duration, Instant};
+
+/// Steady clocks drift apart by far less than this share.
+const DRIFT: f64 = 0.99;
+
+/// A greeting by which a process can be told from its former self.
+pub type Mark = (u64, u64);
+
+pub struct Promises {
+    members: Vec<String>,
+    /// Drawn at each start.
+    nonce: u64,
+    /// How long a heard greeting of a leader binds this controller.
+    promise: Duration,
+    /// This process may not know what its former self promised, so its start
+    /// counts like a greeting.
+    bound_since: Instant,
+    /// The latest greeting as a leader, by member.
+    heard: HashMap<String, Mark>,
+    count: u64,
+    sent: VecDeque<(u64, Instant)>,
+    /// For each member, from when until when it surely answers no reports.
+    covered: HashMap<String, (Instant, Instant)>,
+}
+
+impl Promises {
+    pub fn new(members: Vec<String>, nonce: u64, promise: Duration, now: Instant) -> Self {
+        Self {
+            members,
+            nonce,
+            promise,
+            bound_since: now,
+            heard: HashMap::new(),
+            count: 0,
+            sent: VecDeque::new(),
+            covered: HashMap::new(),
+        }
+    }
+
+    /// The mark of the next greeting to a member, and what was last heard
+    /// from that member as a leader.
+    pub fn greet(&mut self, to: &str, now: Instant) -> (Mark, Option<Mark>) {
+        self.count += 1;
+        self.sent.push_back((self.count, now));
+        while self.sent.front().is_some_and(|(_, at)| now > *at + self.promise) {
+            self.sent.pop_front();
+        }
+        ((self.nonce, self.count), self.heard.get(to).copied())
+    }
+
+    /// Takes in a member's greeting.
+    pub fn greeted(
+        &mut self,
+        from: &str,
+        mark: Mark,
+        leads: bool,
+        echo: Option<Mark>,
+        now: Instant,
+    ) {
+        if leads {
+            self.bound_since = now;
+            self.heard.insert(from.to_owned(), mark);
+        }
+        let Some((_, count)) = echo.filter(|(nonce, _)| *nonce == self.nonce) else { return };
+        let Some((_, sent)) = self.sent.iter().find(|(c, _)| *c == count) else { return };
+        let until = *sent + self.promise.mul_f64(DRIFT);
+        let cover = self.covered.entry(from.to_owned()).or_insert((now, until));
+        if now > cover.1 {
+            // It may have answered reports in between.
+            cover.0 = now;
+        }
+        cover.1 = cover.1.max(until);
+    }
+
+    /// Whether no promise binds this controller.
+    pub fn free(&self, now: Instant) -> bool {
+        now > self.bound_since + self.promise
+    }
+
+    /// Since when surely no other controller has answered reports, or none if
+    /// one might be answering now.
+    pub fn alone_since(&self, now: Instant) -> Option<Instant> {
+        let mut since = None;
+        for member in &self.members {
+            let (from, until) = *self.covered.get(member)?;
+            if now > until {
+                return None;
+            }
+            since = since.max(Some(from));
+        }
+        // The only controller is always alone.
+        Some(since.unwrap_or(self.bound_since))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const PROMISE: Duration = Duration::from_secs(4);
+
+    fn pair() -> (Promises, Promises, Instant) {
+        let now = Instant::now();
+        let leader = Promises::new(vec!["b".into()], 1, PROMISE, now);
+        let other = Promises::new(vec!["a".into()], 2, PROMISE, now);
+        (leader, other, now)
+    }
+
+    /// A greeting of the leader, heard at `at`, and the answer to it.
+    fn exchange(leader: &mut Promises, other: &mut Promises, sent: Instant, at: Instant) {
+        let (mark, echo) = leader.greet("b", sent);
+        other.greeted("a", mark, true, echo, at);
+        let (mark, echo) = other.greet("a", at);
+        leader.greeted("b", mark, false, echo, at);
+    }
+
+    #[test]
+    fn a_leader_is_alone_only_while_promises_last() {
+        let (mut leader, mut other, now) = pair();
+        let at = |s: u64| now + Duration::from_secs(s);
+        assert_eq!(leader.alone_since(now), None, "nothing was promised yet");
+        assert!(!other.free(at(3)), "it may be its former self's promise");
+        assert!(other.free(at(5)));
+        exchange(&mut leader, &mut other, at(6), at(6));
+        exchange(&mut leader, &mut other, at(8), at(8));
+        assert_eq!(leader.alone_since(at(9)), Some(at(6)));
+        assert!(!other.free(at(11)));
+        // The leader stops counting on the promise before the other is free.
+        assert_eq!(leader.alone_since(at(12)), None);
+        assert!(!other.free(at(12)) && other.free(at(13)));
+        exchange(&mut leader, &mut other, at(14), at(14));
+        assert_eq!(leader.alone_since(at(15)), Some(at(14)), "the gap counts");
+    }
+
+    #[test]
+    fn a_late_greeting_promises_nothing_that_is_over() {
+        let (mut leader, mut other, now) = pair();
+        let at = |s: u64| now + Duration::from_secs(s);
+        exchange(&mut leader, &mut other, at(1), at(6));
+        assert_eq!(leader.alone_since(at(6)), None);
+        // Nor does an echo of what a former self of the leader sent.
+        let (mark, echo) = other.greet("a", at(6));
+        let mut successor = Promises::new(vec!["b".into()], 3, PROMISE, at(6));
+        successor.greet("b", at(6));
+        successor.greeted("b", mark, false, echo, at(6));
+        assert_eq!(successor.alone_since(at(6)), None);
+    }
+}
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -188,6 +188,8 @@
     round_due: bool,
     changed: bool,
     started: Instant,
+    /// Since when the state service has answered without a break.
+    unpaused: Option<Instant>,
 }
 
 impl Leader {
@@ -223,6 +225,7 @@
             round_due: true,
             changed: true,
             started: now,
+            unpaused: None,
         };
         if let Some((_, types)) = &picture.types {
             leader.types = types.clone();
@@ -627,13 +630,14 @@
     // Time.
 
     /// Called several times per report interval.
-    pub fn tick(&mut self, now: Instant, paused: bool) {
+    /// `alone`: since when surely no other controller has answered workers.
+    pub fn tick(&mut self, now: Instant, paused: bool, alone: Option<Instant>) {
         let lease = self.settings.worker_lease();
         let over: Vec<(MachineId, u64)> = self
             .fleet
             .machines
             .iter()
-            .filter(|(_, m)| m.seen.0 > m.dead_session && m.lease_over(now, lease))
+            .filter(|(_, m)| m.seen.0 > m.dead_session && m.lease_over(now, lease, alone))
             .map(|(id, m)| (id.clone(), m.seen.0))
             .collect();
         for (id, session) in over {
@@ -647,10 +651,15 @@
         // Without the state service nothing new can be made durable, and an
         // old picture is no ground for returning machines.
         if paused {
+            self.unpaused = None;
             return;
         }
         self.stop_ended(now);
-        self.return_machines(now);
+        // Whether the proof by lease can be had. After an outage the others'
+        // promises need their time first, which is no ground for anything.
+        let unpaused = *self.unpaused.get_or_insert(now);
+        let provable = alone.is_some_and(|since| now > since + lease) || now < unpaused + lease * 2;
+        self.return_machines(now, provable);
         // While a job waits, each round looks again: a boot may be overdue by
         // then, or the cloud have room again.
         let waiting = |j: &Job| j.ended.is_none() && j.bound.is_empty();
@@ -716,10 +725,10 @@
         }
     }
 
-    fn return_machines(&mut self, now: Instant) {
+    fn return_machines(&mut self, now: Instant, provable: bool) {
         let types = self.types.clone();
         let boot = |kind: &str| types.iter().find(|t| &*t.name == kind).map_or(60.0, |t| t.boot_s);
-        for (id, reason) in self.fleet.to_delete(&self.settings, boot, now) {
+        for (id, reason) in self.fleet.to_delete(&self.settings, boot, provable, now) {
             self.delete(&id, reason, now);
         }
         let spare = self.spare_machines();
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -4,7 +4,8 @@
 //! Only these count as proof: a report of a newer (session, sequence) at the
 //! leader's own token that lacks the task; a later session; a deletion that
 //! the cloud answered; or the worker's lease, counted from the leader's last
-//! answer, if the worker had been seen at the leader's token.
+//! answer, if the worker had been seen at the leader's token and surely no
+//! other controller answered it since (`caretaking.rs`).
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
@@ -167,9 +168,11 @@
             && self.silence(now) < report * 3
     }
 
-    /// Proof by lease: the worker gave up its session by itself.
-    pub fn lease_over(&self, now: Instant, lease: Duration) -> bool {
-        self.mine && self.answered.is_some_and(|at| now > at + lease)
+    /// Proof by lease: the worker gave up its session by itself, since nobody
+    /// answered it for that long. `alone`: since when only the leader does.
+    pub fn lease_over(&self, now: Instant, lease: Duration, alone: Option<Instant>) -> bool {
+        let Some(alone) = alone else { return false };
+        self.mine && self.answered.is_some_and(|at| now > at.max(alone) + lease)
     }
 }
 
@@ -277,6 +280,7 @@
         &self,
         settings: &Settings,
         boot_s: impl Fn(&str) -> f64,
+        provable: bool,
         now: Instant,
     ) -> Vec<(MachineId, &'static str)> {
         let lease = settings.worker_lease();
@@ -310,9 +314,11 @@
                 "it never booted"
             } else if silence > lease * 3
                 || (!machine.bound.is_empty() && !machine.mine && silence > patience)
+                || (!machine.bound.is_empty() && !provable && silence > lease)
             {
                 // Tasks may still be bound to it if its worker was never seen
-                // at this token: only a deletion proves that they are gone.
+                // at this token, or if others may have answered it: only a
+                // deletion proves that they are gone.
                 if one_sided && silence < lease * 6 {
                     continue;
                 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! throughput scaling factors, resizing through checkpoint and resume.
 
 pub mod admission_limit;
+pub mod caretaking;
 pub mod cloud;
 pub mod controller;
 pub mod election;
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,6 +2,7 @@
 //! workers, and the duties that keep it going.
 
 use std::{
+    collections::HashMap,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -67,7 +68,7 @@
     /// Built once the picture is as new as the leadership.
     leader: Option<Leader>,
     /// Workers sent to look for another leader, while ours is in doubt.
-    probed: std::collections::HashMap<MachineId, Instant>,
+    probed: HashMap<MachineId, Instant>,
 }
 
 pub struct Node {
@@ -91,6 +92,11 @@
     read_wanted: Notify,
     /// When the state service last answered, and whether it did last time.
     state_seen: Mutex<(Instant, bool)>,
+    started: Instant,
+    /// When the state service last answered well.
+    state_good: Mutex<Option<Instant>>,
+    /// Workers answered while nobody can lead, and since when.
+    cared: Mutex<HashMap<MachineId, Instant>>,
     strays: Mutex<u32>,
 }
 
@@ -110,17 +116,18 @@
         // to how time runs here.
         let target = settings.report() / 2;
         let ceiling = settings.cluster.quota.fd_limit as usize / 4;
+        let nonce = rng.random();
         Arc::new(Self {
-            settings,
             state,
             cloud,
             workers,
             requests,
             admission: AdmissionLimit::new(target, ceiling),
             picture: Mutex::default(),
-            peers: Peers::default(),
+            peers: Peers::new(&settings, nonce),
+            settings,
             lead_changed: Notify::new(),
-            nonce: rng.random(),
+            nonce,
             rng: Mutex::new(rng),
             writer,
             term: Mutex::new(None),
@@ -128,6 +135,9 @@
             readers: Mutex::default(),
             read_wanted: Notify::new(),
             state_seen: Mutex::new((Instant::now(), false)),
+            started: Instant::now(),
+            state_good: Mutex::new(None),
+            cared: Mutex::default(),
             strays: Mutex::new(0),
         })
     }
@@ -143,7 +153,7 @@
         duties.spawn(http::server::serve(self.clone(), public, stop.clone()));
         duties.spawn(peers::listen(self.clone(), internal, stop.clone()));
         for member in &self.settings.members {
-            duties.spawn(peers::greet(self.clone(), member.endpoint, stop.clone()));
+            duties.spawn(peers::greet(self.clone(), member.clone(), stop.clone()));
         }
         stop.cancelled().await;
         duties.close();
@@ -300,6 +310,9 @@
             }
             None => {
                 *lock(&self.strays) += 1;
+                if let Some(reply) = self.take_care(report, Instant::now()) {
+                    return reply;
+                }
                 let picture = lock(&self.picture);
                 let lead = picture.lead.as_ref().map(|(_, lead)| lead.member.clone());
                 ReportReply::Elsewhere(lead.filter(|m| *m != self.settings.member))
@@ -333,6 +346,35 @@
         }
     }
 
+    /// Answers a worker while nobody can lead, see `caretaking.rs`.
+    fn take_care(&self, report: &Report, now: Instant) -> Option<ReportReply> {
+        let limit = self.settings.caretaking_limit();
+        let until = match *lock(&self.state_good) {
+            Some(at) => at + limit,
+            // This process knows nothing of the time before it: half of the
+            // limit is left for that.
+            None => self.started + limit / 2,
+        };
+        let mut cared = lock(&self.cared);
+        let may = !self.state_ok()
+            && now < until
+            && report.token > 0
+            && lock(&self.term).is_none()
+            && lock(&self.peers.promises).free(now);
+        if !may {
+            cared.clear();
+            return None;
+        }
+        // A leader may be there that only this node can't hear, so workers
+        // are sent to look for it once in a while.
+        let since = *cared.entry(report.machine.clone()).or_insert(now);
+        if now > since + self.settings.worker_lease() / 2 {
+            cared.remove(&report.machine);
+            return None;
+        }
+        Some(ReportReply::Orders { token: report.token, orders: Vec::new() })
+    }
+
     fn depose(&self, term: &mut Option<Term>) {
         if let Some(held) = term.take() {
             warn!(token = held.token, "a worker has seen a higher token");
@@ -359,9 +401,13 @@
 
     // Between controllers.
 
-    pub fn hello(&self) -> Hello {
+    pub fn hello(&self, to: &str) -> Hello {
+        let (mark, echo) = lock(&self.peers.promises).greet(to, Instant::now());
         Hello {
             member: self.settings.member.clone(),
+            mark,
+            echo,
+            leads: lock(&self.term).is_some(),
             token: lock(&self.picture).token.1,
             state_ok: self.state_ok(),
             strays: std::mem::take(&mut *lock(&self.strays)),
@@ -396,7 +442,7 @@
             token,
             renewed: Instant::now(),
             leader: None,
-            probed: std::collections::HashMap::new(),
+            probed: HashMap::new(),
         });
         let limits = &self.settings.cluster.state;
         self.requests.set_rate(self.settings.share(limits.rps, true));
@@ -488,6 +534,9 @@
     }
 
     fn note_state(&self, ok: bool) {
+        if ok {
+            *lock(&self.state_good) = Some(Instant::now());
+        }
         *lock(&self.state_seen) = (Instant::now(), ok);
     }
 
@@ -635,10 +684,11 @@
         let _ = tokio::time::timeout(report / 4, node.work.notified()).await;
         let now = Instant::now();
         let paused = node.in_doubt();
+        let alone = lock(&node.peers.promises).alone_since(now);
         let due = {
             let picture = lock(&node.picture);
             node.with_leader(version, |leader| {
-                leader.tick(now, paused);
+                leader.tick(now, paused, alone);
                 if told + report * 10 < now {
                     told = now;
                     info!("{}", leader.summary(now));
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -3,9 +3,10 @@
 //!
 //! A greeting carries no authority. It lets a deposed leader learn of its
 //! successor, a node that alone lost the state service know that it is alone,
+//! a leader know that nobody else answers workers (`caretaking.rs`),
 //! and a leader that hears no worker learn that workers live.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, sync::Mutex};
+use std::{collections::HashMap, sync::Arc, sync::Mutex};
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -20,7 +21,14 @@
 };
 use tracing::warn;
 
-use crate::{http::accept, node::Node, protocol::Hello, state::lock};
+use crate::{
+    caretaking::Promises,
+    http::accept,
+    node::Node,
+    protocol::Hello,
+    settings::{Member, Settings},
+    state::lock,
+};
 
 /// A greeting is a few dozen bytes; a longer frame is not one of ours.
 const FRAME_LIMIT: usize = 4096;
@@ -30,13 +38,22 @@
 }
 
 /// The latest greeting of each other controller.
-#[derive(Default)]
 pub struct Peers {
     heard: Mutex<HashMap<String, (Hello, Instant)>>,
+    pub promises: Mutex<Promises>,
 }
 
 impl Peers {
+    pub fn new(settings: &Settings, nonce: u64) -> Self {
+        let members = settings.members.iter().map(|m| m.member.clone()).collect();
+        let promise = settings.caretaking_promise();
+        let promises = Promises::new(members, nonce, promise, Instant::now());
+        Self { heard: Mutex::default(), promises: Mutex::new(promises) }
+    }
+
     pub fn note(&self, hello: Hello) {
+        let now = Instant::now();
+        lock(&self.promises).greeted(&hello.member, hello.mark, hello.leads, hello.echo, now);
         lock(&self.heard).insert(hello.member.clone(), (hello, Instant::now()));
     }
 
@@ -78,15 +95,15 @@
 }
 
 /// Greets one other controller for as long as this one runs.
-pub async fn greet(node: Arc<Node>, to: SocketAddr, stop: CancellationToken) {
+pub async fn greet(node: Arc<Node>, member: Member, stop: CancellationToken) {
     let every = node.settings.leader_lease() / 4;
     tokio::select! {
         () = async {
             loop {
-                if let Ok(Ok(stream)) = timeout(every, TcpStream::connect(to)).await {
+                if let Ok(Ok(stream)) = timeout(every, TcpStream::connect(member.endpoint)).await {
                     let mut frames = FramedWrite::new(stream, codec());
                     loop {
-                        let frame = Bytes::from(bitcode::encode(&node.hello()));
+                        let frame = Bytes::from(bitcode::encode(&node.hello(&member.member)));
                         match timeout(every, frames.send(frame)).await {
                             Ok(Ok(())) => tokio::time::sleep(every).await,
                             _ => break,
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -475,6 +475,12 @@
 #[derive(Clone, Debug, PartialEq, bitcode::Encode, bitcode::Decode)]
 pub struct Hello {
     pub member: String,
+    /// Which process says this, and its how manieth greeting it is.
+    pub mark: (u64, u64),
+    /// The latest greeting that this node heard from the receiver as a leader:
+    /// it answers no reports of workers for a while after that.
+    pub echo: Option<(u64, u64)>,
+    pub leads: bool,
     /// The highest fencing token this node has seen anywhere.
     pub token: u64,
     /// Whether the state service answered this node lately.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -288,6 +288,21 @@
         Duration::from_secs_f64(self.cluster.workers.lease_s / 3.0)
     }
 
+    /// How long a greeting of a leader keeps another controller from answering
+    /// workers. Greetings leave four times per leader lease, so one may be
+    /// lost; and all of it, with a restart, must fit into a worker's lease.
+    pub fn caretaking_promise(&self) -> Duration {
+        self.leader_lease() * 3 / 4
+    }
+
+    /// For how long workers may be answered after the state service was last
+    /// reached: a job cancelled just before must be gone, by its worker's own
+    /// lease, within `cancel_s`.
+    pub fn caretaking_limit(&self) -> Duration {
+        let workers = &self.cluster.workers;
+        Duration::from_secs_f64((workers.cancel_s - workers.lease_s).max(0.0) * 0.9)
+    }
+
     /// How long one call to the state service may take: three tries fit into
     /// the leader's lease.
     pub fn state_timeout(&self) -> Duration {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -20,7 +20,7 @@
         MachineId, MachineList, MachineState, MachineType, Op, Order, Rental, Report, TaskReport,
         TaskState, Transaction, Write,
     },
-    settings::Settings,
+    settings::{Member, Settings},
     state::{StateApi, StateError},
 };
 use tokio::time::{Instant, sleep};
@@ -413,6 +413,8 @@
     rented: HashMap<String, Vec<MachineId>>,
     next: u32,
     broken: Vec<String>,
+    /// Nodes cut off from the other controllers.
+    severed: BTreeSet<usize>,
     starts: u32,
     seeds: u64,
     /// How long a task runs; services never end.
@@ -491,6 +493,7 @@
         for node in 0..3 {
             world.start_node(node);
         }
+        tokio::spawn(world.clone().greetings());
         for _ in 0..machines {
             let name: MachineId = {
                 let mut site = lock(&world.site);
@@ -519,11 +522,48 @@
         };
         let (state, cloud) = (self.state.client(&name), Arc::new(self.clone()));
         let workers = Arc::new(MemWorkers { world: self.clone(), at });
-        let node = Node::new(settings(&name), state, cloud, workers, seed);
+        let mut settings = settings(&name);
+        // Machines stay long enough for a story to end.
+        settings.operator.idle_boots = 10.0;
+        settings.members = (0..3)
+            .filter(|other| *other != at)
+            .map(|other| Member {
+                member: format!("m-{other}"),
+                endpoint: "127.0.0.1:9".parse().expect("an address"),
+            })
+            .collect();
+        let node = Node::new(settings, state, cloud, workers, seed);
         node.spawn_duties(&stop).close();
         lock(&self.site).nodes[at] = Some((node, stop));
     }
 
+    /// The links between the controllers.
+    async fn greetings(self) {
+        loop {
+            sleep(Duration::from_millis(900)).await;
+            let (nodes, severed) = {
+                let site = lock(&self.site);
+                (site.nodes.clone(), site.severed.clone())
+            };
+            for (from, sender) in nodes.iter().enumerate() {
+                for (to, receiver) in nodes.iter().enumerate() {
+                    let cut = severed.contains(&from) || severed.contains(&to);
+                    if let (Some((sender, _)), Some((receiver, _))) = (sender, receiver)
+                        && from != to
+                        && !cut
+                    {
+                        receiver.on_hello(sender.hello(&format!("m-{to}")));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Cuts a node's links to the other controllers.
+    pub fn sever(&self, node: usize) {
+        lock(&self.site).severed.insert(node);
+    }
+
     /// Ends a node without any farewell.
     pub fn kill_node(&self, at: usize) {
         if let Some((_, stop)) = lock(&self.site).nodes[at].take() {
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -20,6 +20,7 @@
     leader: Leader,
     revision: u64,
     now: Instant,
+    began: Instant,
     seqs: BTreeMap<String, u64>,
 }
 
@@ -36,7 +37,7 @@
         // Returning idle machines is no part of these stories.
         settings.operator.idle_boots = 1e3;
         let leader = Leader::new(Arc::new(settings), 1, token, &picture, now);
-        Self { picture, leader, revision: 100, now, seqs: BTreeMap::new() }
+        Self { picture, leader, revision: 100, now, began: now, seqs: BTreeMap::new() }
     }
 
     /// The next leader, over the records that this one left.
@@ -63,7 +64,7 @@
 
     fn pass(&mut self, seconds: f64) {
         self.now += Duration::from_secs_f64(seconds);
-        self.leader.tick(self.now, false);
+        self.leader.tick(self.now, false, Some(self.began));
     }
 
     fn commits(&mut self) -> Vec<Commit> {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -178,6 +178,70 @@
     assert!(world.broken().is_empty());
 }
 
+#[tokio::test(start_paused = true)]
+async fn all_controllers_end_within_an_outage_and_no_task_is_lost() {
+    // Nobody can be elected in an outage, and worker leases are shorter.
+    let world = World::new(2).await;
+    let body = job("j-000011", json!({"Shape": "service", "Spokes": 4}));
+    assert!(created(&world.node(0).submit(&body).await));
+    world.until("it runs", || world.starts() == 4).await;
+    world.state.set_outage(true);
+    seconds(6).await;
+    for node in 0..3 {
+        world.kill_node(node);
+    }
+    seconds(4).await;
+    for node in 0..3 {
+        world.start_node(node);
+    }
+    seconds(8).await;
+    world.state.set_outage(false);
+    seconds(20).await;
+    assert!(world.leader().is_some());
+    assert_eq!(world.starts(), 4, "nothing was restarted");
+    assert!(world.broken().is_empty(), "{:?}", world.broken());
+}
+
+#[tokio::test(start_paused = true)]
+async fn caretaking_ends_before_a_cancelled_task_could_outlive_its_time() {
+    let world = World::new(1).await;
+    let body = job("j-000012", json!({"Shape": "service", "Spokes": 1}));
+    assert!(created(&world.node(0).submit(&body).await));
+    world.until("it runs", || world.starts() == 1).await;
+    let leader = world.leader().expect("a leader");
+    let machine = world.machines_of("j-000012").pop().expect("its machine");
+    // The leader ends before its order to stop arrives.
+    world.cut(&machine, &[leader]);
+    assert!(world.node(leader).cancel("j-000012").await.is_ok());
+    world.kill_node(leader);
+    world.state.set_outage(true);
+    seconds(20).await;
+    assert!(!world.machines_of("j-000012").is_empty(), "its worker was answered");
+    seconds(16).await;
+    assert!(world.machines_of("j-000012").is_empty(), "gone within cancel_s");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_worker_that_another_node_answers_is_not_taken_for_dead() {
+    // One node loses the store and the other controllers, but not the
+    // workers; one worker can reach only that node. The leader has no proof
+    // by lease then, and must not start its task elsewhere without another.
+    let world = World::new(2).await;
+    let leader = world.leader().expect("a leader");
+    let body = job("j-000013", json!({"Shape": "service", "Spokes": 1, "Gpus": 8.0}));
+    assert!(created(&world.node(leader).submit(&body).await));
+    world.until("it runs", || world.starts() == 1).await;
+    let machine = world.machines_of("j-000013").pop().expect("its machine");
+    let lone = (leader + 1) % 3;
+    let others: Vec<usize> = (0..3).filter(|n| *n != lone).collect();
+    world.state.refuse(&format!("m-{lone}"), true);
+    world.sever(lone);
+    world.cut(&machine, &others);
+    seconds(60).await;
+    assert!(world.broken().is_empty(), "{:?}", world.broken());
+    assert_eq!(world.starts(), 2, "the machine was given back, and the task started anew");
+}
+
 #[tokio::test(start_paused = true)]
 async fn reads_after_a_failover_are_not_older_than_what_was_told() {
     let world = World::new(1).await;
