Machines of a zone that is cut off are not given back

Change: a zone most of whose machines are silent counts as cut off, and for a lease after, as they come back one by one; only much longer silence ends a machine there.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -191,6 +191,8 @@
     pub machines: BTreeMap<MachineId, Machine>,
     /// Deleted for certain; lists and late reports may still speak of them.
     pub gone: HashMap<MachineId, Instant>,
+    /// Zones that are cut off, and when that was last seen.
+    cuts: HashMap<Arc<str>, Instant>,
 }
 
 impl Fleet {
@@ -274,10 +276,28 @@
         all >= 3 && silent * 2 > all
     }
 
+    /// Zones most of whose machines are silent: they are cut off and will be
+    /// back. Returning all of them would cost a boot of each, which takes
+    /// longer than most cuts.
+    fn note_cuts(&mut self, now: Instant, lease: Duration) {
+        let mut counts: HashMap<Arc<str>, (u32, u32)> = HashMap::new();
+        for machine in self.machines.values().filter(|m| !m.deleting) {
+            if machine.heard() || !machine.bound.is_empty() {
+                let (all, silent) = counts.entry(machine.zone.clone()).or_default();
+                *all += 1;
+                *silent += u32::from(machine.silence(now) > lease / 2);
+            }
+        }
+        counts.retain(|_, (all, silent)| *all >= 3 && *silent * 2 > *all);
+        // Machines come back one by one, so the last get as long again.
+        self.cuts.retain(|_, at| now < *at + lease);
+        self.cuts.extend(counts.into_keys().map(|zone| (zone, now)));
+    }
+
     /// Machines that are of no use any more and should be returned, with the
     /// reason for the operator.
     pub fn to_delete(
-        &self,
+        &mut self,
         settings: &Settings,
         boot_s: impl Fn(&str) -> f64,
         provable: bool,
@@ -292,6 +312,7 @@
             .values()
             .filter(|m| !m.bound.is_empty() && !m.mine && m.silence(now) > lease / 2)
             .count();
+        self.note_cuts(now, lease);
         let patience =
             if missing * 4 > self.machines.len() { lease * 3 / 2 } else { lease * 3 / 4 };
         let mut found = Vec::new();
@@ -319,7 +340,7 @@
                 // Tasks may still be bound to it if its worker was never seen
                 // at this token, or if others may have answered it: only a
                 // deletion proves that they are gone.
-                if one_sided && silence < lease * 6 {
+                if (one_sided || self.cuts.contains_key(&machine.zone)) && silence < lease * 6 {
                     continue;
                 }
                 "it is silent"
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -596,3 +596,39 @@
     duty.settle();
     assert_eq!(duty.bound("j-000001").len(), 2);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_zone_that_is_cut_off_is_not_given_back() {
+    // A leader new to its post took the machines of a zone that it could not
+    // hear for dead, 30 at once, and each needed a boot to be replaced.
+    let mut duty = Duty::new(5);
+    let names = ["a-1", "a-2", "a-3", "a-4", "a-5", "b-1", "b-2", "b-3"];
+    for name in names {
+        duty.report(name, 1, &[]);
+    }
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 8, "Gpus": 8.0}));
+    duty.settle();
+    let mut tasks: BTreeMap<&str, Vec<TaskReport>> = BTreeMap::new();
+    for name in names {
+        let orders = duty.report(name, 1, &[]);
+        tasks.insert(name, ops(&orders, Op::Start).into_iter().map(running).collect());
+    }
+    assert!(tasks.values().all(|t| t.len() == 1));
+    let mut duty = duty.succeed(6);
+    for _ in 0..25 {
+        for name in &names[1..5] {
+            duty.report(name, 1, &tasks[name]);
+        }
+        duty.pass(1.0);
+    }
+    // The zone comes back, one machine after the other.
+    for back in [&names[5..7], &names[5..]] {
+        duty.pass(1.0);
+        for name in names[1..5].iter().chain(back) {
+            duty.report(name, 1, &tasks[name]);
+        }
+        duty.pass(1.0);
+    }
+    let returned = duty.leader.take_deletions();
+    assert_eq!(returned.iter().map(|m| &**m).collect::<Vec<_>>(), ["a-1"]);
+}
