--- a/src/controller.rs
+++ b/src/controller.rs
@@ -838,6 +838,7 @@
         }
         let types = self.types.clone();
         let settings = self.settings.clone();
+        let settled = self.settled(now);
         self.refused.retain(|_, until| *until > now);
         let machines = self.machine_views(now);
         let index: HashMap<&MachineId, usize> =
@@ -872,6 +873,11 @@
             }
         }
         self.bind(decisions.place);
+        // What the workers have not told yet looks like a lack of machines.
+        if !settled {
+            self.round_due = true;
+            return;
+        }
         for stopping in decisions.stop {
             info!(job = %stopping.job, task = stopping.task, at_once = stopping.at_once, "stopped to make room");
             self.stop(&(stopping.job, stopping.task), stopping.at_once, now);
@@ -884,6 +890,14 @@
         self.rent(decisions.rent);
     }
 
+    /// Whether a new leader has heard what it should: all machines that hold
+    /// tasks, as far as they report within the usual time.
+    fn settled(&self, now: Instant) -> bool {
+        let machines = self.fleet.machines.values();
+        now > self.started + self.settings.worker_lease() / 2
+            || machines.filter(|m| !m.bound.is_empty()).all(Machine::heard)
+    }
+
     fn machine_views(&self, now: Instant) -> Vec<MachineView> {
         let report = self.settings.report();
         let mut views = Vec::new();
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -632,3 +632,26 @@
     let returned = duty.leader.take_deletions();
     assert_eq!(returned.iter().map(|m| &**m).collect::<Vec<_>>(), ["a-1"]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_new_leader_rents_nothing_before_it_has_heard_its_machines() {
+    // At each takeover the whole fleet looked gone for a second, and dozens
+    // of machines were rented that nobody needed.
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 1, "Gpus": 4.0}));
+    duty.settle();
+    let tasks: Vec<_> = duty.report("n-1", 1, &[]).iter().map(running).collect();
+    let mut duty = duty.succeed(6);
+    duty.submit("j-000002", json!({"Shape": "service", "Spokes": 1, "Gpus": 4.0}));
+    duty.pass(0.3);
+    assert!(duty.leader.take_rentals().is_empty());
+    duty.report("n-1", 1, &tasks);
+    duty.settle();
+    assert_eq!(duty.bound("j-000002"), [(0, "n-1".into())]);
+    assert!(duty.leader.take_rentals().is_empty());
+    // A machine that stays silent is not waited for.
+    duty.submit("j-000003", json!({"Shape": "service", "Spokes": 1, "Gpus": 4.0}));
+    duty.settle();
+    assert_eq!(duty.leader.take_rentals().len(), 1);
+}
