--- a/src/controller.rs
+++ b/src/controller.rs
@@ -762,7 +762,8 @@
     /// for tasks that need most of one, and room anywhere, in machines, for
     /// the rest. Arrivals and departures of work whose class has an aim on
     /// waiting make its load swing by about the root of it, and a boot is too
-    /// long to wait for.
+    /// long to wait for. Waiting work counts, or a fleet that starts from
+    /// nothing would have no room for boots that take several times as long.
     fn spare(&self) -> (usize, f64) {
         let (mut whole, mut partial) = (0.0, 0.0);
         for job in self.jobs.values() {
@@ -772,7 +773,7 @@
             let need = Resources::of_task(&job.spec);
             let shares = self.types.iter().map(|t| need.share_of(&Resources::of_type(t)));
             let share = shares.fold(f64::INFINITY, f64::min).min(1.0);
-            let load = share * job.bound.len() as f64;
+            let load = share * f64::from(job.remaining());
             if share > 0.5 {
                 whole += load;
             } else {
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -11,6 +11,7 @@
 use stonewheel::{
     controller::{Commit, CommitKind, Leader},
     protocol::{Cause, JobSpec, Op, Order, Report, TaskReport, TaskState, Write},
+    settings::Objective,
     store::{self, Change, Page, Picture},
 };
 use tokio::time::Instant;
@@ -655,3 +656,21 @@
     duty.settle();
     assert_eq!(duty.leader.take_rentals().len(), 1);
 }
+
+#[tokio::test(start_paused = true)]
+async fn room_is_kept_ready_for_waiting_work_too() {
+    // A fleet that starts from nothing had room for exactly what waited, and
+    // each boot that took several times as long kept a replica from starting.
+    let mut duty = Duty::new(5);
+    let mut settings = settings("m-0");
+    settings.cluster.objectives.push(Objective {
+        kind: "wait".into(),
+        class: Some("train".into()),
+        within_s: Some(10.0),
+    });
+    duty.leader = Leader::new(Arc::new(settings), 1, 5, &duty.picture, duty.now);
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 25, "Gpus": 8.0}));
+    duty.settle();
+    let rented: u32 = duty.leader.take_rentals().iter().map(|r| r.count).sum();
+    assert_eq!(rented, 27, "0.4 of the root of 25 machines more");
+}
