--- a/src/controller.rs
+++ b/src/controller.rs
@@ -731,7 +731,7 @@
         for (id, reason) in self.fleet.to_delete(&self.settings, boot, provable, now) {
             self.delete(&id, reason, now);
         }
-        let spare = self.spare_machines();
+        let (spare, spare_spot) = (self.spare_machines(), self.spare_spot());
         let mut idle: Vec<(bool, Instant, MachineId)> = self
             .fleet
             .machines
@@ -745,10 +745,11 @@
             .collect();
         idle.sort();
         let ordinary = idle.iter().filter(|(ordinary, ..)| *ordinary).count();
-        let mut keep = spare.min(ordinary);
+        let mut keep = [spare_spot.min(idle.len() - ordinary), spare.min(ordinary)];
         for (ordinary, _, id) in idle.into_iter().rev() {
-            if ordinary && keep > 0 {
-                keep -= 1;
+            let keep = &mut keep[usize::from(ordinary)];
+            if *keep > 0 {
+                *keep -= 1;
                 continue;
             }
             self.delete(&id, "it is idle", now);
@@ -784,6 +785,24 @@
         ((whole.sqrt() * headroom).round() as usize, partial.sqrt() * headroom)
     }
 
+    /// Empty spot machines kept ready for work that may use them and has an
+    /// aim; they cost a fraction of ordinary ones.
+    fn spare_spot(&self) -> usize {
+        let aims = &self.settings.cluster.objectives;
+        let load: f64 = self
+            .jobs
+            .values()
+            .filter(|job| job.spec.spot)
+            .filter(|job| aims.iter().any(|o| o.class.as_ref() == Some(&job.spec.class)))
+            .map(|job| {
+                let need = Resources::of_task(&job.spec);
+                let shares = self.types.iter().map(|t| need.share_of(&Resources::of_type(t)));
+                shares.fold(f64::INFINITY, f64::min).min(1.0) * f64::from(job.remaining())
+            })
+            .sum();
+        (load.sqrt() * self.settings.operator.headroom).round() as usize
+    }
+
     /// How many empty ordinary machines that takes.
     fn spare_machines(&self) -> usize {
         let (empty, room) = self.spare();
@@ -859,6 +878,7 @@
             usage: self.usage.clone(),
             refused: self.refused.keys().copied().collect(),
             spare: self.spare_machines(),
+            spare_spot: self.spare_spot(),
             spare_room: {
                 let (empty, room) = self.spare();
                 empty as f64 + room
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -151,6 +151,8 @@
     pub refused: Vec<(usize, u8, bool)>,
     /// Empty ordinary machines to have ready for what may come.
     pub spare: usize,
+    /// Empty spot machines to have ready.
+    pub spare_spot: usize,
     /// Room on ordinary machines, in machines, to keep for what may come.
     pub spare_room: f64,
     /// Whether the design's round is due now.
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -335,12 +335,14 @@
             }
         }
     }
-    let empty = snapshot.machines.iter().filter(|m| m.empty && !m.spot).count();
     let mut counts: BTreeMap<(usize, u8, bool), u32> = BTreeMap::new();
-    if let Some(kind) = spare_kind(snapshot)
-        && empty < snapshot.spare
-    {
-        *counts.entry(kind).or_default() += (snapshot.spare - empty) as u32;
+    for (spot, spare) in [(false, snapshot.spare), (true, snapshot.spare_spot)] {
+        let empty = snapshot.machines.iter().filter(|m| m.empty && m.spot == spot).count();
+        if let Some(kind) = spare_kind(snapshot, spot)
+            && empty < spare
+        {
+            *counts.entry(kind).or_default() += (spare - empty) as u32;
+        }
     }
     for machine in &snapshot.machines[real..] {
         *counts.entry((machine.kind, machine.zone, machine.spot)).or_default() += 1;
@@ -349,15 +351,16 @@
         counts.into_iter().map(|((kind, zone, spot), n)| (kind, zone, spot, n)).collect();
 }
 
-/// The kind of a spare machine: the cheapest ordinary one for its room, in the
-/// zone with the fewest machines.
-fn spare_kind(snapshot: &Snapshot<'_>) -> Option<(usize, u8, bool)> {
+/// The kind of a spare machine: the cheapest one for its room, in the zone
+/// with the fewest machines.
+fn spare_kind(snapshot: &Snapshot<'_>, spot: bool) -> Option<(usize, u8, bool)> {
     let mut kinds: Vec<(f64, usize, (usize, u8, bool))> = Vec::new();
     for (kind, t) in snapshot.types.iter().enumerate() {
         for zone in t.zones.iter().filter_map(|z| snapshot.settings.zone_index(z)) {
-            if !snapshot.refused.contains(&(kind, zone, false)) {
+            if !snapshot.refused.contains(&(kind, zone, spot)) {
                 let there = snapshot.machines.iter().filter(|m| m.zone == zone).count();
-                kinds.push((t.price / t.gpus.max(t.cpus), there, (kind, zone, false)));
+                let price = if spot { t.spot_price } else { t.price };
+                kinds.push((price / t.gpus.max(t.cpus), there, (kind, zone, spot)));
             }
         }
     }
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -674,3 +674,20 @@
     let rented: u32 = duty.leader.take_rentals().iter().map(|r| r.count).sum();
     assert_eq!(rented, 27, "0.4 of the root of 25 machines more");
 }
+
+#[tokio::test(start_paused = true)]
+async fn empty_spot_machines_are_kept_for_work_that_may_use_them() {
+    let mut duty = Duty::new(5);
+    let mut settings = settings("m-0");
+    settings.cluster.objectives.push(Objective {
+        kind: "finished".into(),
+        class: Some("train".into()),
+        within_s: Some(100.0),
+    });
+    duty.leader = Leader::new(Arc::new(settings), 1, 5, &duty.picture, duty.now);
+    duty.submit("j-000001", json!({"Spokes": 64, "Driftwood": true}));
+    duty.pass(5.0);
+    let rentals = duty.leader.take_rentals();
+    assert!(rentals.iter().all(|r| r.spot));
+    assert_eq!(rentals.iter().map(|r| r.count).sum::<u32>(), 9, "0.4 of the root of 8 more");
+}
