Images that no longer fit a machine's cache are not counted on

Cause: the leader listed every image a machine ever fetched; two gang images of 118 GB and what small replicas use pass a cache of 400 GB within minutes, so places counted as holding an image that had to be fetched again.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -265,9 +265,7 @@
                 });
                 known.bound.insert((id.clone(), task));
                 // What a former leader fetched there is known by what runs.
-                if !known.images.contains(&job.spec.image) {
-                    known.images.push(job.spec.image.clone());
-                }
+                known.note_image(&job.spec.image, job.spec.image_gb, f64::INFINITY, &[]);
                 let binding = Binding {
                     machine,
                     attempt,
@@ -956,7 +954,7 @@
                 stopping,
                 ready,
                 empty: machine.bound.is_empty(),
-                images: machine.images.clone(),
+                images: machine.images.iter().map(|(image, _)| image.clone()).collect(),
             });
         }
         views
@@ -1040,8 +1038,12 @@
             use_team(&mut self.usage, &job.spec, 1.0);
             machine.bound.insert((id.clone(), task));
             machine.idle_since = None;
-            machine.images.retain(|i| *i != job.spec.image);
-            machine.images.push(job.spec.image.clone());
+            let spec = job.spec.clone();
+            let kind = self.types.iter().find(|t| t.name == machine.machine_type);
+            let cache_gb = kind.map_or(f64::INFINITY, |t| t.cache_gb);
+            let here = machine.bound.iter().filter_map(|(job, _)| self.jobs.get(job));
+            let used: Vec<Arc<str>> = here.map(|job| job.spec.image.clone()).collect();
+            machine.note_image(&spec.image, spec.image_gb, cache_gb, &used);
             self.dirty.insert((id, task / self.settings.page_tasks()));
         }
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -103,8 +103,9 @@
     pub prompting: bool,
     /// What tasks on the machine use that the leader has not bound there.
     pub strangers: Resources,
-    /// Images fetched here, as far as the leader placed their tasks.
-    pub images: Vec<Arc<str>>,
+    /// Images fetched here with their sizes in GB, the latest used last, as
+    /// far as the leader placed their tasks.
+    pub images: Vec<(Arc<str>, f64)>,
     pub notice_until: Option<Instant>,
     pub deleting: bool,
     /// Not used before then: it failed tasks, or doesn't hear its orders.
@@ -145,6 +146,19 @@
         }
     }
 
+    /// Notes that a task uses an image. What then no longer fits the cache is
+    /// gone, the longest unused first, but not what tasks here use.
+    pub fn note_image(&mut self, image: &Arc<str>, gb: f64, cache_gb: f64, used: &[Arc<str>]) {
+        self.images.retain(|(held, _)| held != image);
+        self.images.push((image.clone(), gb));
+        let mut over = self.images.iter().map(|(_, gb)| gb).sum::<f64>() - cache_gb;
+        self.images.retain(|(held, gb)| {
+            let goes = over > 0.0 && held != image && !used.contains(held);
+            over -= if goes { *gb } else { 0.0 };
+            !goes
+        });
+    }
+
     pub fn heard(&self) -> bool {
         self.answered.is_some()
     }
@@ -360,3 +374,22 @@
         self.gone.retain(|_, at| now.saturating_duration_since(*at) < keep);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn images_that_no_longer_fit_are_not_counted_on() {
+        let mut machine = Machine::new("g8".into(), "a".into(), false, Instant::now());
+        let [a, b, c]: [Arc<str>; 3] = ["a".into(), "b".into(), "c".into()];
+        machine.note_image(&a, 40.0, 100.0, &[]);
+        machine.note_image(&b, 40.0, 100.0, &[]);
+        machine.note_image(&a, 40.0, 100.0, &[]);
+        machine.note_image(&c, 40.0, 100.0, &[]);
+        let held = |m: &Machine| m.images.iter().map(|(i, _)| i.clone()).collect::<Vec<_>>();
+        assert_eq!(held(&machine), [a.clone(), c.clone()], "the longest unused goes");
+        machine.note_image(&b, 40.0, 100.0, std::slice::from_ref(&a));
+        assert_eq!(held(&machine), [a, b], "an image in use stays");
+    }
+}
