--- a/src/main.rs
+++ b/src/main.rs
@@ -34,6 +34,9 @@
             return ExitCode::from(2);
         }
     };
+    for warning in settings.warnings() {
+        eprintln!("stonewheel: {}: warning: {warning}", arguments.config.display());
+    }
     if arguments.check {
         println!("the settings are valid");
         return ExitCode::SUCCESS;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -263,6 +263,42 @@
         Ok(())
     }
 
+    /// What will work, but badly: one line each, for the operator.
+    pub fn warnings(&self) -> Vec<String> {
+        let state = &self.cluster.state;
+        let mut found = Vec::new();
+        // Each controller asks by itself, without any user: renewals or reads
+        // several times per leader lease, and a watch.
+        let quiet = 8.0 / self.leader_lease().as_secs_f64();
+        let share = self.share(state.rps, false);
+        if share < quiet {
+            found.push(format!(
+                "cluster.state.rps: {:.1} requests a second are left for each of {} controllers, \
+                 and {quiet:.1} go to watches and reads alone: answers will be late",
+                share, self.cluster.size
+            ));
+        }
+        let writes = self.share(state.write_rps, false);
+        if writes < 1.0 {
+            found.push(format!(
+                "cluster.state.write_rps: {writes:.1} changes a second are left for each of {} \
+                 controllers: submissions will be late",
+                self.cluster.size
+            ));
+        }
+        if self.members.len() + 1 != self.cluster.size as usize {
+            found.push(format!(
+                "members: {} others are listed for {} controllers",
+                self.members.len(),
+                self.cluster.size
+            ));
+        }
+        if !self.cluster.zones.contains(&Arc::from(self.zone.as_str())) {
+            found.push("zone: not among cluster.zones".into());
+        }
+        found
+    }
+
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.cluster.teams.iter().find(|t| &*t.name == name)
     }
@@ -407,6 +443,21 @@
         }
     }
 
+    #[test]
+    fn a_budget_too_small_for_the_site_is_named() {
+        let warn = |from: &str, to: &str| {
+            let text = GOOD.replacen("size = 3", "size = 1", 1).replacen(from, to, 1);
+            Settings::parse("f", &text).expect("valid").warnings().join("; ")
+        };
+        assert_eq!(warn("", ""), "");
+        assert!(warn("\nrps = 150.0", "\nrps = 2.0").starts_with("cluster.state.rps"));
+        assert!(warn("write_rps = 60.0", "write_rps = 0.5").starts_with("cluster.state.write_rps"));
+        // Many controllers live on the same budget.
+        let many = warn("size = 1", "size = 90");
+        assert!(many.contains("cluster.state.rps") && many.contains("members"), "{many}");
+        assert!(warn("zone = \"a\"", "zone = \"z\"").starts_with("zone"));
+    }
+
     #[test]
     fn zero_means_no_guarantee() {
         let team = Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 };
