--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -90,6 +90,17 @@
     pub loss_s: f64,
 }
 
+impl BoundView {
+    /// The task of a place that is held in thought.
+    pub const HELD: u32 = u32::MAX;
+
+    /// A place held on a machine, as if a task were bound there.
+    pub fn held(machine: usize, zone: u8, stopping: bool) -> Self {
+        let machine = Some(machine);
+        Self { task: Self::HELD, machine, zone, stopping, settled: false, loss_s: 0.0 }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct JobView {
     pub id: JobId,
--- a/src/scheduler/moving.rs
+++ b/src/scheduler/moving.rs
@@ -9,7 +9,7 @@
 use crate::protocol::Shape;
 
 use super::{
-    Decisions, Resources, Slot, Snapshot, Stopping,
+    BoundView, Decisions, Resources, Slot, Snapshot, Stopping,
     placement::{Zones, allows, bind_in_thought, fetch_s, find},
 };
 
@@ -143,14 +143,7 @@
 /// Notes a gang's held place, whose room is taken out already.
 fn bind_held(snapshot: &mut Snapshot<'_>, at: usize, machine: usize) {
     let zone = snapshot.machines[machine].zone;
-    snapshot.jobs[at].bound.push(super::BoundView {
-        task: u32::MAX,
-        machine: Some(machine),
-        zone,
-        stopping: true,
-        settled: false,
-        loss_s: 0.0,
-    });
+    snapshot.jobs[at].bound.push(BoundView::held(machine, zone, true));
 }
 
 /// Clears machines that hold little, so that they can be returned: as load
@@ -187,7 +180,7 @@
         if room - 1.0 < snapshot.spare_room {
             break;
         }
-        // Taken in by a move just decided.
+        // A machine that a move just decided on counts on stays.
         let taken_in = residents[machine].len() != bound_count(snapshot, machine);
         if !taken_in && clear(snapshot, &residents[machine], machine, decisions) {
             room -= 1.0;
@@ -196,7 +189,7 @@
 }
 
 fn bound_count(snapshot: &Snapshot<'_>, machine: usize) -> usize {
-    let here = |b: &&super::BoundView| b.machine == Some(machine);
+    let here = |b: &&BoundView| b.machine == Some(machine);
     snapshot.jobs.iter().map(|j| j.bound.iter().filter(here).count()).sum()
 }
 
@@ -243,7 +236,7 @@
     if job.spec.shape != Shape::Service {
         return;
     }
-    let away = job.bound.iter().filter(|b| b.stopping && b.task != u32::MAX).count();
+    let away = job.bound.iter().filter(|b| b.stopping && b.task != BoundView::HELD).count();
     if away > 0 {
         for place in find(snapshot, at, away, true) {
             bind_in_thought(snapshot, at, place);
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -5,8 +5,8 @@
 use crate::protocol::{JobSpec, MachineId, MachineType, Shape};
 
 use super::{
-    Decisions, JobView, MachineView, Resources, Slot, Snapshot, moving, order, preemption,
-    team_room,
+    BoundView, Decisions, JobView, MachineView, Resources, Slot, Snapshot, moving, order,
+    preemption, team_room,
 };
 
 /// A fetch may take a third longer than its machine type says.
@@ -374,14 +374,7 @@
 pub fn bind_in_thought(snapshot: &mut Snapshot<'_>, at: usize, machine: usize) {
     hold(snapshot, at, machine);
     let zone = snapshot.machines[machine].zone;
-    snapshot.jobs[at].bound.push(super::BoundView {
-        task: u32::MAX,
-        machine: Some(machine),
-        zone,
-        stopping: false,
-        settled: false,
-        loss_s: 0.0,
-    });
+    snapshot.jobs[at].bound.push(BoundView::held(machine, zone, false));
 }
 
 /// The cheapest kind of machine that one more task may go to, in the zone
--- a/src/scheduler/preemption.rs
+++ b/src/scheduler/preemption.rs
@@ -2,7 +2,9 @@
 
 use crate::protocol::Shape;
 
-use super::{Decisions, Resources, Slot, Snapshot, Stopping, placement::Zones, placement::allows};
+use super::{
+    BoundView, Decisions, Resources, Slot, Snapshot, Stopping, placement::Zones, placement::allows,
+};
 
 /// Makes room for `count` tasks of a job by stopping work of lower priority,
 /// the least lost work first, and holds that room for them. Returns for how
@@ -123,14 +125,7 @@
     // made again and again.
     snapshot.machines[machine].free.sub(&need);
     let zone = snapshot.machines[machine].zone;
-    snapshot.jobs[at].bound.push(super::BoundView {
-        task: u32::MAX,
-        machine: Some(machine),
-        zone,
-        stopping: true,
-        settled: false,
-        loss_s: 0.0,
-    });
+    snapshot.jobs[at].bound.push(BoundView::held(machine, zone, true));
 }
 
 /// The machine where one task finds room at the least loss, with the tasks
