--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -4,14 +4,21 @@
 
 use std::time::Duration;
 
+use std::sync::Arc;
+
+use bytes::Bytes;
 use common::{World, job};
+use http_body_util::Full;
+use hyper::{Request, service::Service};
+use hyper_util::service::TowerToHyperService;
 use serde_json::json;
 use stonewheel::{
-    node::{Trouble, UserReply},
+    http::server::routes,
+    node::{Node, Trouble, UserReply},
     protocol::{Condition, JobState, Write},
     store,
 };
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 fn created(reply: &Result<UserReply, Trouble>) -> bool {
     matches!(reply, Ok(UserReply::Created(_)))
@@ -386,3 +393,58 @@
     let condition = Condition { key: "sw/e/j-7".into(), version: 1 };
     assert!(world.state.commit(vec![condition], Vec::new()).is_err());
 }
+
+/// One request to a node's routes: the status, `Retry-After`, and how long the
+/// answer took.
+async fn ask(node: Arc<Node>, method: &str, path: &str, body: Vec<u8>) -> (u16, bool, Duration) {
+    let service = TowerToHyperService::new(warp::service(routes(node)));
+    let request = Request::builder().method(method).uri(path).body(Full::new(Bytes::from(body)));
+    let asked = Instant::now();
+    let response = service.call(request.expect("a request")).await.expect("an answer");
+    (response.status().as_u16(), response.headers().contains_key("retry-after"), asked.elapsed())
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_crowd_is_refused_early_and_reports_go_first() {
+    let world = World::new(3).await;
+    let leader = world.leader().expect("a leader");
+    let node = world.node(leader);
+    // Every write takes a second, and far more users come than can be served.
+    world.state.mute(&format!("m-{leader}"), 1000);
+    let limit = node.admission.limit();
+    let crowd: Vec<_> = (0..4 * limit)
+        .map(|n| {
+            let body = job(&format!("j-1{n:05}"), json!({"Spokes": 1}));
+            tokio::spawn(ask(node.clone(), "POST", "/work", body))
+        })
+        .collect();
+    seconds(1).await;
+    let report = json!({"Millstone": "n-000001", "Endpoint": "", "Frame": "g8", "Yard": "a",
+        "Turning": 1, "Tick": 1_000_000, "Warrant": 0, "Spokes": []});
+    let body = serde_json::to_vec(&report).expect("json");
+    let (status, _, took) = ask(node.clone(), "POST", "/agent/beat", body).await;
+    assert_eq!((status, took), (200, Duration::ZERO), "no report waits for users");
+    let (mut accepted, mut refused) = (Vec::new(), 0);
+    for (n, answer) in crowd.into_iter().enumerate() {
+        match answer.await.expect("it ran") {
+            (200 | 201, ..) => accepted.push(format!("j-1{n:05}")),
+            (503, retry_after, took) => {
+                assert!(retry_after, "it says when to come back");
+                refused += usize::from(took < Duration::from_millis(100));
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(refused >= 3 * limit, "only {refused} were refused at once");
+    assert!(!accepted.is_empty());
+    assert!(node.admission.limit() < limit, "slow answers shrink the limit");
+    // When the store is quick again, all that was accepted runs.
+    world.state.mute(&format!("m-{leader}"), 0);
+    for id in &accepted {
+        world.runs_for(id, 1);
+    }
+    for id in &accepted {
+        world.until_state((leader + 1) % 3, id, JobState::Done).await;
+    }
+    assert!(world.broken().is_empty(), "{:?}", world.broken());
+}
