Rows of linear curves in steps of the room alone, without change of behaviour

The same optimum of the same program: a sliding window takes the place of a try of every width, and a row ends where more room changes nothing. Tested equal to the plain rows.

--- a/src/scheduler/optimizer.rs
+++ b/src/scheduler/optimizer.rs
@@ -3,6 +3,8 @@
 //! A row is kept for each admitted job, so trying one job more costs one row
 //! and a failed trial costs nothing that was there before.
 
+use std::collections::VecDeque;
+
 /// How a job's throughput scales with its width, and what a width costs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Curve {
@@ -23,53 +25,47 @@
 }
 
 struct Row {
-    best: Vec<f64>,
+    /// The job's width for each room up to `choice.len() - 1`; more room than
+    /// that changes nothing.
     choice: Vec<u32>,
     cost: usize,
 }
 
 /// The table of all admitted jobs over `room` units.
+///
+/// What the jobs so far could take at most bounds a row: beyond it every room
+/// has the same optimum. Totals are only needed of the last row.
 pub struct Program {
     room: usize,
     rows: Vec<Row>,
+    best: Vec<f64>,
 }
 
 impl Program {
     pub fn new(room: usize) -> Self {
-        Self { room, rows: Vec::new() }
+        Self { room, rows: Vec::new(), best: vec![0.0] }
     }
 
     /// Admits a job if all jobs so far still get at least their least width.
     pub fn admit(&mut self, curve: &Curve) -> bool {
         let cost = curve.cost.max(1);
-        let mut row = Row {
-            best: vec![f64::NEG_INFINITY; self.room + 1],
-            choice: vec![0; self.room + 1],
-            cost,
+        let asked = (self.best.len() - 1).saturating_add(curve.max as usize * cost);
+        let size = self.room.min(asked) + 1;
+        let (best, choice) = if curve.slope == 0.0 {
+            linear_row(&self.best, curve, cost, size)
+        } else {
+            plain_row(&self.best, curve, cost, size)
         };
-        for room in 0..=self.room {
-            for width in curve.min.max(1)..=curve.max {
-                let taken = width as usize * cost;
-                if taken > room {
-                    break;
-                }
-                let before = self.rows.last().map_or(0.0, |r| r.best[room - taken]);
-                let total = before + curve.factor(width);
-                if total > row.best[room] {
-                    row.best[room] = total;
-                    row.choice[room] = width;
-                }
-            }
-        }
-        let feasible = row.best[self.room] > 0.0;
+        let feasible = best[size - 1] > 0.0;
         if feasible {
-            self.rows.push(row);
+            self.best = best;
+            self.rows.push(Row { choice, cost });
         }
         feasible
     }
 
     pub fn total(&self) -> f64 {
-        self.rows.last().map_or(0.0, |r| r.best[self.room])
+        self.best[self.best.len() - 1]
     }
 
     /// The best widths, in order of admission.
@@ -80,6 +76,7 @@
             .iter()
             .rev()
             .map(|row| {
+                room = room.min(row.choice.len() - 1);
                 let width = row.choice[room];
                 room -= width as usize * row.cost;
                 width
@@ -90,6 +87,58 @@
     }
 }
 
+/// One row for any curve: room times width steps.
+fn plain_row(before: &[f64], curve: &Curve, cost: usize, size: usize) -> (Vec<f64>, Vec<u32>) {
+    let (mut best, mut choice) = (vec![f64::NEG_INFINITY; size], vec![0; size]);
+    for room in 0..size {
+        for width in curve.min.max(1)..=curve.max {
+            let taken = width as usize * cost;
+            if taken > room {
+                break;
+            }
+            let total = before[(room - taken).min(before.len() - 1)] + curve.factor(width);
+            if total > best[room] {
+                best[room] = total;
+                choice[room] = width;
+            }
+        }
+    }
+    (best, choice)
+}
+
+/// The same row for a curve whose factor is its width, in steps of the room
+/// alone. With `q` steps of `cost` in a room, the best of
+/// `before(q - k) + k` over k is `q` plus the greatest `before(i) - i` over a
+/// window of `i` that slides along with `q`.
+fn linear_row(before: &[f64], curve: &Curve, cost: usize, size: usize) -> (Vec<f64>, Vec<u32>) {
+    let (mut best, mut choice) = (vec![f64::NEG_INFINITY; size], vec![0; size]);
+    let (min, max) = (curve.min.max(1) as usize, curve.max as usize);
+    let mut window: VecDeque<(usize, f64)> = VecDeque::new();
+    for rest in 0..cost.min(size) {
+        window.clear();
+        for q in 0..=(size - 1 - rest) / cost {
+            if min > max || q < min {
+                continue;
+            }
+            let enters = q - min;
+            let value = before[(enters * cost + rest).min(before.len() - 1)] - enters as f64;
+            // Of equal ones the newest stays: it means the least width.
+            while window.back().is_some_and(|(_, v)| *v <= value) {
+                window.pop_back();
+            }
+            window.push_back((enters, value));
+            while window.front().is_some_and(|(i, _)| *i + max < q) {
+                window.pop_front();
+            }
+            if let Some((i, value)) = window.front().filter(|(_, v)| v.is_finite()) {
+                best[q * cost + rest] = value + q as f64;
+                choice[q * cost + rest] = (q - i) as u32;
+            }
+        }
+    }
+    (best, choice)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -148,4 +197,22 @@
         assert!(program.admit(&curve(1)));
         assert_eq!(program.widths(), [2, 1]);
     }
+
+    #[test]
+    fn quick_rows_equal_plain_ones() {
+        let mut rng = StdRng::seed_from_u64(11);
+        for _ in 0..300 {
+            let mut before = vec![0.0];
+            for _ in 0..rng.random_range(1..6) {
+                let min = rng.random_range(1..4);
+                let max = min + rng.random_range(0..12);
+                let cost = rng.random_range(1..5);
+                let curve = Curve { min, max, cost, slope: 0.0 };
+                let size = rng.random_range(1..60);
+                let quick = linear_row(&before, &curve, cost, size);
+                assert_eq!(quick, plain_row(&before, &curve, cost, size));
+                before = quick.0;
+            }
+        }
+    }
 }
