A leader that lost its workers learns from any peer that they live

Now every member is told alike, and silence counts from two and a half report intervals. Test: a_leader_that_lost_its_workers_gives_way_before_their_leases_end fails without it.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -1213,10 +1213,12 @@
         self.fleet.note_list(list, now);
     }
 
-    /// Whether this node alone seems cut off from the workers.
+    /// Whether this node alone seems cut off from the workers. Found out late,
+    /// a successor would have no time left to be found by them within their
+    /// lease: they look for it only after an answer has failed to come.
     pub fn deserted(&self, now: Instant) -> bool {
         now > self.started + self.settings.worker_lease()
-            && self.fleet.mostly_silent(now, self.settings.report() * 7 / 2)
+            && self.fleet.mostly_silent(now, self.settings.report() * 5 / 2)
     }
 
     // Writing.
--- a/src/node.rs
+++ b/src/node.rs
@@ -97,7 +97,8 @@
     state_good: Mutex<Option<Instant>>,
     /// Workers answered while nobody can lead, and since when.
     cared: Mutex<HashMap<MachineId, Instant>>,
-    strays: Mutex<u32>,
+    /// When a report was last turned away or answered in a leader's stead.
+    stray: Mutex<Option<Instant>>,
 }
 
 impl Node {
@@ -138,7 +139,7 @@
             started: Instant::now(),
             state_good: Mutex::new(None),
             cared: Mutex::default(),
-            strays: Mutex::new(0),
+            stray: Mutex::new(None),
         })
     }
 
@@ -309,7 +310,7 @@
                 reply
             }
             None => {
-                *lock(&self.strays) += 1;
+                *lock(&self.stray) = Some(Instant::now());
                 if let Some(reply) = self.take_care(report, Instant::now()) {
                     return reply;
                 }
@@ -410,7 +411,9 @@
             leads: lock(&self.term).is_some(),
             token: lock(&self.picture).token.1,
             state_ok: self.state_ok(),
-            strays: std::mem::take(&mut *lock(&self.strays)),
+            // Told to every member alike: counted once for whoever was greeted
+            // first, it never reached the leader that needed it.
+            strays: lock(&self.stray).is_some_and(|at| at.elapsed() < self.settings.report() * 2),
         }
     }
 
@@ -476,7 +479,7 @@
     pub fn deserted(&self, version: u64) -> bool {
         let silent =
             self.with_leader(version, |leader| leader.deserted(Instant::now())).unwrap_or(false);
-        silent && self.peers.any(self.settings.report() * 2, |hello| hello.strays > 0)
+        silent && self.peers.any(self.settings.report() * 2, |hello| hello.strays)
     }
 
     fn with_leader<T>(&self, version: u64, work: impl FnOnce(&mut Leader) -> T) -> Option<T> {
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -485,7 +485,7 @@
     pub token: u64,
     /// Whether the state service answered this node lately.
     pub state_ok: bool,
-    /// Reports this node turned away since its last greeting: proof that
-    /// workers live although the leader may not hear them.
-    pub strays: u32,
+    /// Whether this node turned reports away lately: proof that workers live
+    /// although the leader may not hear them.
+    pub strays: bool,
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -228,6 +228,25 @@
     assert!(world.machines_of("j-000012").is_empty(), "gone within cancel_s");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_lost_its_workers_gives_way_before_their_leases_end() {
+    // Each node turns reports away and says so; whichever member it greets
+    // first, the leader has to learn of it.
+    let world = World::new(4).await;
+    let old = world.leader().expect("a leader");
+    let body = job("j-000014", json!({"Shape": "service", "Spokes": 4, "Gpus": 8.0}));
+    assert!(created(&world.node(0).submit(&body).await));
+    world.until("it runs", || world.starts() == 4).await;
+    seconds(12).await;
+    for machine in world.machines_of("j-000014") {
+        world.cut(&machine, &[old]);
+    }
+    world.until("another leads", || world.leader().is_some_and(|l| l != old)).await;
+    seconds(15).await;
+    assert_eq!(world.starts(), 4, "nothing was lost or restarted");
+    assert!(world.broken().is_empty(), "{:?}", world.broken());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_worker_that_another_node_answers_is_not_taken_for_dead() {
     // One node loses the store and the other controllers, but not the
