Unbroken promises prove for machines that a new leader never heard

Whoever echoes a greeting of the term neither leads nor answers workers, so the last answered report was sent before the promises began; argued in caretaking.rs. Promises of an earlier term are forgotten when a term begins. Tests: a_lease_without_any_answer_is_proof_for_machines_never_heard, promises_of_an_earlier_term_are_forgotten.

--- a/src/caretaking.rs
+++ b/src/caretaking.rs
@@ -11,7 +11,11 @@
 //! own next greeting which one it heard. A leader uses the proof only while
 //! promises of all others have covered the whole time that the proof counts.
 //! Greetings may come late or not at all: the leader counts a promise from
-//! when it *sent* what was heard, and without promises it has no proof.
+//! when it *sent* what was heard, and without promises it has no proof. Whoever
+//! echoes a greeting of this term also leads no more, since a greeting carries
+//! the token that deposes it. So promises of all others prove even for workers
+//! that this leader never heard: the last report that anybody answered was sent
+//! before the promises began.
 //!
 //! Nobody can be told to stop a cancelled job's tasks meanwhile. So caretaking
 //! ends early enough for their leases to run out within `cancel_s`.
@@ -57,6 +61,13 @@
         }
     }
 
+    /// A term as leader begins: only what is promised from now on counts. An
+    /// echo of an earlier term's greeting says nothing of whoever led between.
+    pub fn begin_term(&mut self) {
+        self.sent.clear();
+        self.covered.clear();
+    }
+
     /// The mark of the next greeting to a member, and what was last heard
     /// from that member as a leader.
     pub fn greet(&mut self, to: &str, now: Instant) -> (Mark, Option<Mark>) {
@@ -152,6 +163,22 @@
         assert_eq!(leader.alone_since(at(15)), Some(at(14)), "the gap counts");
     }
 
+    #[test]
+    fn promises_of_an_earlier_term_are_forgotten() {
+        // Another may have led in between and answered workers.
+        let (mut leader, mut other, now) = pair();
+        let at = |s: u64| now + Duration::from_secs(s);
+        exchange(&mut leader, &mut other, at(1), at(1));
+        assert!(leader.alone_since(at(2)).is_some());
+        leader.begin_term();
+        assert_eq!(leader.alone_since(at(2)), None);
+        let (mark, echo) = other.greet("a", at(2));
+        leader.greeted("b", mark, false, echo, at(2));
+        assert_eq!(leader.alone_since(at(2)), None, "an echo of the earlier term");
+        exchange(&mut leader, &mut other, at(3), at(3));
+        assert_eq!(leader.alone_since(at(4)), Some(at(3)));
+    }
+
     #[test]
     fn a_late_greeting_promises_nothing_that_is_over() {
         let (mut leader, mut other, now) = pair();
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -631,15 +631,22 @@
     /// `alone`: since when surely no other controller has answered workers.
     pub fn tick(&mut self, now: Instant, paused: bool, alone: Option<Instant>) {
         let lease = self.settings.worker_lease();
+        // A machine that this leader never heard has the sessions that the
+        // records name.
+        let recorded = |key: &TaskKey| Some(self.jobs.get(&key.0)?.bound.get(&key.1)?.session);
         let over: Vec<(MachineId, u64)> = self
             .fleet
             .machines
             .iter()
-            .filter(|(_, m)| m.seen.0 > m.dead_session && m.lease_over(now, lease, alone))
-            .map(|(id, m)| (id.clone(), m.seen.0))
+            .filter(|(_, m)| m.lease_over(now, lease, alone))
+            .filter_map(|(id, m)| {
+                let recorded = m.bound.iter().filter_map(recorded).max();
+                let session = m.seen.0.max(recorded.unwrap_or(0));
+                (session > m.dead_session).then(|| (id.clone(), session))
+            })
             .collect();
         for (id, session) in over {
-            info!(machine = %id, "silent past its lease: its tasks are gone");
+            info!(machine = %id, session, "silent past its lease: its tasks are gone");
             if let Some(machine) = self.fleet.machines.get_mut(&id) {
                 machine.dead_session = session;
             }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -4,8 +4,7 @@
 //! Only these count as proof: a report of a newer (session, sequence) at the
 //! leader's own token that lacks the task; a later session; a deletion that
 //! the cloud answered; or the worker's lease, counted from the leader's last
-//! answer, if the worker had been seen at the leader's token and surely no
-//! other controller answered it since (`caretaking.rs`).
+//! answer and from when surely no other controller answers (`caretaking.rs`).
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
@@ -183,10 +182,10 @@
     }
 
     /// Proof by lease: the worker gave up its session by itself, since nobody
-    /// answered it for that long. `alone`: since when only the leader does.
+    /// answered it for that long. `alone`: since when only the leader does,
+    /// within its term. It need not have heard the worker.
     pub fn lease_over(&self, now: Instant, lease: Duration, alone: Option<Instant>) -> bool {
-        let Some(alone) = alone else { return false };
-        self.mine && self.answered.is_some_and(|at| now > at.max(alone) + lease)
+        alone.is_some_and(|alone| now > self.answered.map_or(alone, |at| at.max(alone)) + lease)
     }
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -440,6 +440,7 @@
     }
 
     pub fn begin_term(&self, version: u64, token: u64) {
+        lock(&self.peers.promises).begin_term();
         *lock(&self.term) = Some(Term {
             version,
             token,
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -21,7 +21,8 @@
     leader: Leader,
     revision: u64,
     now: Instant,
-    began: Instant,
+    /// Since when surely no other controller answers workers.
+    alone: Option<Instant>,
     seqs: BTreeMap<String, u64>,
 }
 
@@ -38,7 +39,7 @@
         // Returning idle machines is no part of these stories.
         settings.operator.idle_boots = 1e3;
         let leader = Leader::new(Arc::new(settings), 1, token, &picture, now);
-        Self { picture, leader, revision: 100, now, began: now, seqs: BTreeMap::new() }
+        Self { picture, leader, revision: 100, now, alone: Some(now), seqs: BTreeMap::new() }
     }
 
     /// The next leader, over the records that this one left.
@@ -65,7 +66,7 @@
 
     fn pass(&mut self, seconds: f64) {
         self.now += Duration::from_secs_f64(seconds);
-        self.leader.tick(self.now, false, Some(self.began));
+        self.leader.tick(self.now, false, self.alone);
     }
 
     fn commits(&mut self) -> Vec<Commit> {
@@ -239,6 +240,7 @@
     duty.submit("j-000001", json!({"Shape": "service", "Spokes": 1}));
     duty.settle();
     let mut next = duty.succeed(6);
+    next.alone = None;
     next.report("n-2", 1, &[]);
     next.report("n-3", 1, &[]);
     for _ in 0..15 {
@@ -260,6 +262,29 @@
     assert!(next.report_at("n-1", 99, 7, &[]).is_empty());
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_lease_without_any_answer_is_proof_for_machines_never_heard() {
+    // Half of a fleet was cut off as its leader ended. The next one waited for
+    // the end of the cut with tasks that were long gone.
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 3, &[]);
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 1}));
+    duty.settle();
+    let mut next = duty.succeed(6);
+    next.alone = Some(next.now + Duration::from_secs(2));
+    for second in 0..14 {
+        next.report("n-2", 1, &[]);
+        next.pass(1.0);
+        let bound = next.bound("j-000001");
+        assert!(second > 12 || bound.is_empty() || bound[0].1 == "n-1", "before its lease ended");
+    }
+    next.settle();
+    assert_eq!(next.bound("j-000001"), [(0, "n-2".to_owned())]);
+    // A late copy from before the cut brings nothing back.
+    assert!(next.report_at("n-1", 50, 3, &[]).is_empty());
+    assert!(next.leader.take_deletions().is_empty(), "it may come back");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_team_stays_within_its_limit_while_a_task_lingers() {
     let mut duty = Duty::new(5);
@@ -616,18 +641,21 @@
     }
     assert!(tasks.values().all(|t| t.len() == 1));
     let mut duty = duty.succeed(6);
-    for _ in 0..25 {
+    for _ in 0..36 {
         for name in &names[1..5] {
             duty.report(name, 1, &tasks[name]);
         }
         duty.pass(1.0);
     }
-    // The zone comes back, one machine after the other.
+    // The zone comes back, one machine after the other, in new sessions.
     for back in [&names[5..7], &names[5..]] {
         duty.pass(1.0);
-        for name in names[1..5].iter().chain(back) {
+        for name in &names[1..5] {
             duty.report(name, 1, &tasks[name]);
         }
+        for name in back {
+            duty.report(name, 2, &[]);
+        }
         duty.pass(1.0);
     }
     let returned = duty.leader.take_deletions();
