Machines known from records are not taken for booting ones; those of a cut zone are counted on

A machine that was never heard but had lost its session by proof looked like one that still boots: work waited for it, and of a cut zone it was returned. Kept machines of a cut zone now take part in what is awaited, since they are back sooner than others could boot.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -936,8 +936,9 @@
             // A boot that is overdue may take several times as long, or never
             // end: nothing should count on it any more.
             let due = Duration::from_secs_f64(self.types[kind].boot_s * OVERDUE_BOOTS);
-            let booting = !machine.heard() && !machine.deleting && machine.silence(now) < due;
-            if !ready && !booting {
+            let booting = machine.unborn() && machine.silence(now) < due;
+            let coming = (booting || self.fleet.comes_back(machine)) && !machine.deleting;
+            if !ready && !coming {
                 continue;
             }
             let mut free = Resources::of_type(&self.types[kind]);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -162,6 +162,11 @@
         self.answered.is_some()
     }
 
+    /// Never heard, by this leader or, as far as it knows, a former one.
+    pub fn unborn(&self) -> bool {
+        !self.heard() && self.dead_session == 0
+    }
+
     /// How long the machine has not been heard (since it was known, if never).
     pub fn silence(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.answered.unwrap_or(self.since))
@@ -278,7 +283,7 @@
     /// Whether most machines that were heard before fell silent at once: then
     /// the fault is more likely on this side.
     pub fn mostly_silent(&self, now: Instant, limit: Duration) -> bool {
-        let heard = self.machines.values().filter(|m| m.heard() && !m.deleting);
+        let heard = self.machines.values().filter(|m| !m.unborn() && !m.deleting);
         let (mut all, mut silent) = (0, 0);
         for machine in heard {
             all += 1;
@@ -295,7 +300,7 @@
     fn note_cuts(&mut self, now: Instant, lease: Duration) {
         let mut counts: HashMap<Arc<str>, (u32, u32)> = HashMap::new();
         for machine in self.machines.values().filter(|m| !m.deleting) {
-            if machine.heard() || !machine.bound.is_empty() {
+            if !machine.unborn() || !machine.bound.is_empty() {
                 let (all, silent) = counts.entry(machine.zone.clone()).or_default();
                 *all += 1;
                 *silent += u32::from(machine.silence(now) > lease / 2);
@@ -337,7 +342,7 @@
             let boot = Duration::from_secs_f64(boot_s(&machine.machine_type));
             let reason = if machine.listed == Some(MachineState::Failed) && silence > lease {
                 "it failed"
-            } else if !machine.heard()
+            } else if machine.unborn()
                 && machine.listed != Some(MachineState::Running)
                 && machine.bound.is_empty()
             {
@@ -369,6 +374,14 @@
         found
     }
 
+    /// Whether a machine that lost its session is kept, since its zone is cut
+    /// off: it will be back sooner than another could boot.
+    pub fn comes_back(&self, machine: &Machine) -> bool {
+        machine.dead_session > 0
+            && machine.seen.0 <= machine.dead_session
+            && self.cuts.contains_key(&machine.zone)
+    }
+
     pub fn forget_gone(&mut self, now: Instant, keep: Duration) {
         self.gone.retain(|_, at| now.saturating_duration_since(*at) < keep);
     }
