--- a/src/controller.rs
+++ b/src/controller.rs
@@ -791,8 +791,12 @@
     }
 
     /// Empty spot machines kept ready for work that may use them and has an
-    /// aim; they cost a fraction of ordinary ones.
+    /// aim; as many more as they are cheaper than ordinary ones, since what a
+    /// late start costs is the same.
     fn spare_spot(&self) -> usize {
+        let cheaper =
+            |t: &MachineType| if t.spot_price > 0.0 { t.price / t.spot_price } else { 1.0 };
+        let cheaper = self.types.iter().map(cheaper).fold(1.0, f64::max);
         let aims = &self.settings.cluster.objectives;
         let load: f64 = self
             .jobs
@@ -805,7 +809,7 @@
                 shares.fold(f64::INFINITY, f64::min).min(1.0) * f64::from(job.remaining())
             })
             .sum();
-        (load.sqrt() * self.settings.operator.headroom).round() as usize
+        (load.sqrt() * self.settings.operator.headroom * cheaper).round() as usize
     }
 
     /// How many empty ordinary machines that takes.
