Looks over the whole fleet a few times per report interval, passes at a distance, writes in order

By reading: every report made the leader scan all machines and jobs, and each exit a pass; pages left in order of job id, all at once. Now what time alone brings is looked at eight times per report interval; a pass keeps seven times its own length of distance; the cheapest places come from a heap instead of a new search for each task; ends leave first, then pages with new places by priority and arrival, and no more at once than three transactions hold. Counts of operations are kept.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -7,6 +7,7 @@
 //! the worker.
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
 };
@@ -23,6 +24,7 @@
     },
     scheduler::{self, BoundView, JobView, MachineView, Resources, Snapshot, TeamUse},
     settings::Settings,
+    state::IN_FLIGHT,
     store::{self, Change, End, Page, Picture},
 };
 
@@ -33,6 +35,23 @@
 /// within this time, so nothing is moved before then.
 const SETTLED_S: f64 = 30.0;
 
+/// A pass may take up to one in so many parts of the time: the rest is for
+/// reports, answers and the renewal of the lease.
+const PASS_PARTS: u32 = 8;
+
+/// What the duty has cost so far, in operations rather than seconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Effort {
+    pub reports: u64,
+    /// Bound or reported tasks looked at for them.
+    pub reviewed: u64,
+    /// Looks over all machines and jobs for what time alone brings.
+    pub rounds_of_care: u64,
+    pub passes: u64,
+    /// Places weighed in them.
+    pub weighed: u64,
+}
+
 /// A task on its machine, until proof that it is gone.
 #[derive(Clone, Debug)]
 struct Binding {
@@ -113,6 +132,12 @@
         self.returned.iter().copied().chain(fresh).take(limit).collect()
     }
 
+    /// Whether a page holds places whose start waits for its record.
+    fn awaits_record(&self, page: u32, size: u32) -> bool {
+        let range = page * size..(page + 1).saturating_mul(size);
+        self.bound.range(range).any(|(_, b)| !b.durable)
+    }
+
     fn page(&self, page: u32, size: u32) -> Page {
         let range = page * size..(page + 1).saturating_mul(size).min(self.spec.tasks);
         let bound = self
@@ -174,7 +199,7 @@
     fleet: Fleet,
     usage: HashMap<Arc<str>, TeamUse>,
     dirty: BTreeSet<(JobId, u32)>,
-    inflight: HashSet<(JobId, u32)>,
+    inflight: BTreeSet<(JobId, u32)>,
     ending: BTreeSet<JobId>,
     /// Kinds the cloud refused: not asked again before then.
     refused: HashMap<(usize, u8, bool), Instant>,
@@ -185,6 +210,9 @@
     deletions: Vec<MachineId>,
     rental_count: u64,
     next_round: Instant,
+    next_care: Instant,
+    next_pass: Instant,
+    pub effort: Effort,
     round_due: bool,
     changed: bool,
     started: Instant,
@@ -213,7 +241,7 @@
             fleet: Fleet::default(),
             usage: HashMap::new(),
             dirty: BTreeSet::new(),
-            inflight: HashSet::new(),
+            inflight: BTreeSet::new(),
             ending: BTreeSet::new(),
             refused: HashMap::new(),
             rentals: Vec::new(),
@@ -222,6 +250,9 @@
             deletions: Vec::new(),
             rental_count: 0,
             next_round: now,
+            next_care: now,
+            next_pass: now,
+            effort: Effort::default(),
             round_due: true,
             changed: true,
             started: now,
@@ -366,6 +397,8 @@
             .get(&report.machine)
             .map(|m| m.bound.iter().cloned().collect())
             .unwrap_or_default();
+        self.effort.reports += 1;
+        self.effort.reviewed += (bound.len() + reported.len()) as u64;
         let mut orders = Vec::new();
         for key in bound {
             self.review(&key, reported.get(&key).copied(), report, direct, &mut orders, now);
@@ -627,9 +660,59 @@
 
     // Time.
 
-    /// Called several times per report interval.
+    /// Called whenever something happened, and several times per report
+    /// interval. What needs a look over all machines or jobs is done a few
+    /// times per report interval only, since reports come far more often.
     /// `alone`: since when surely no other controller has answered workers.
     pub fn tick(&mut self, now: Instant, paused: bool, alone: Option<Instant>) {
+        let care = now >= self.next_care;
+        if care {
+            self.effort.rounds_of_care += 1;
+            self.next_care = now + self.settings.report() / 8;
+            self.expire_sessions(now, alone);
+            self.drain(now);
+        }
+        // Without the state service nothing new can be made durable, and an
+        // old picture is no ground for returning machines.
+        if paused {
+            self.unpaused = None;
+            return;
+        }
+        // Whether the proof by lease can be had. After an outage the others'
+        // promises need their time first, which is no ground for anything.
+        let lease = self.settings.worker_lease();
+        let unpaused = *self.unpaused.get_or_insert(now);
+        if care {
+            self.stop_ended(now);
+            let provable =
+                alone.is_some_and(|since| now > since + lease) || now < unpaused + lease * 2;
+            self.return_machines(now, provable);
+            for job in self.jobs.values_mut().filter(|j| j.held_until.is_some_and(|t| t <= now)) {
+                job.held_until = None;
+                self.changed = true;
+            }
+        }
+        if now < self.next_pass {
+            return;
+        }
+        // While a job waits, each round looks again: a boot may be overdue by
+        // then, or the cloud have room again.
+        let waiting = |j: &Job| j.ended.is_none() && j.bound.is_empty();
+        let round = now >= self.next_round && (self.round_due || self.jobs.values().any(waiting));
+        if self.changed || round {
+            self.changed = false;
+            self.schedule(round, now);
+        }
+    }
+
+    /// How long the last tick took: the next pass keeps its distance, so that
+    /// passes never crowd out reports, however large the fleet.
+    pub fn took(&mut self, now: Instant, took: Duration) {
+        self.next_pass = now + took * PASS_PARTS;
+    }
+
+    /// Sessions that ended by themselves, with proof of it.
+    fn expire_sessions(&mut self, now: Instant, alone: Option<Instant>) {
         let lease = self.settings.worker_lease();
         // A machine that this leader never heard has the sessions that the
         // records name.
@@ -652,31 +735,6 @@
             }
             self.lose_sessions(&id, session + 1, now);
         }
-        self.drain(now);
-        // Without the state service nothing new can be made durable, and an
-        // old picture is no ground for returning machines.
-        if paused {
-            self.unpaused = None;
-            return;
-        }
-        self.stop_ended(now);
-        // Whether the proof by lease can be had. After an outage the others'
-        // promises need their time first, which is no ground for anything.
-        let unpaused = *self.unpaused.get_or_insert(now);
-        let provable = alone.is_some_and(|since| now > since + lease) || now < unpaused + lease * 2;
-        self.return_machines(now, provable);
-        // While a job waits, each round looks again: a boot may be overdue by
-        // then, or the cloud have room again.
-        let waiting = |j: &Job| j.ended.is_none() && j.bound.is_empty();
-        let round = now >= self.next_round && (self.round_due || self.jobs.values().any(waiting));
-        let waits_over = self.jobs.values().any(|j| j.held_until.is_some_and(|t| t <= now));
-        if self.changed || round || waits_over {
-            self.changed = false;
-            for job in self.jobs.values_mut() {
-                job.held_until = job.held_until.filter(|t| *t > now);
-            }
-            self.schedule(round, now);
-        }
     }
 
     /// Stops tasks on machines that will be taken back, in time to save.
@@ -893,8 +951,11 @@
                 empty as f64 + room
             },
             round,
+            weighed: Cell::new(0),
         };
         let decisions = scheduler::decide(snapshot);
+        self.effort.passes += 1;
+        self.effort.weighed += decisions.weighed;
         for (id, width) in decisions.widths {
             if let Some(job) = self.jobs.get_mut(&id).filter(|j| j.width != width) {
                 info!(job = %id, from = job.width, to = width, "width");
@@ -966,6 +1027,7 @@
                 stopping,
                 ready,
                 empty: machine.bound.is_empty(),
+                awaited: false,
                 images: machine.images.iter().map(|(image, _)| image.clone()).collect(),
             });
         }
@@ -1235,34 +1297,14 @@
 
     // Writing.
 
-    /// Writes that are due. A page leaves only once at a time, so what it
-    /// says of a task is never overtaken by an older version.
+    /// Writes that are due, as many as may be under way at once: after a loss
+    /// of hundreds of tasks the budget decides who comes back first, so ends go
+    /// first, then pages with new places by priority and arrival, then the
+    /// rest. A page leaves only once at a time, so what it says of a task is
+    /// never overtaken by an older version.
     pub fn take_commits(&mut self, picture: &Picture) -> Vec<Commit> {
         let mut commits = Vec::new();
         let lead = Condition { key: store::LEAD.into(), version: self.lead_version };
-        let size = self.settings.page_tasks();
-        let due: Vec<(JobId, u32)> =
-            self.dirty.iter().filter(|key| !self.inflight.contains(*key)).cloned().collect();
-        for key in due {
-            self.dirty.remove(&key);
-            let Some(job) = self.jobs.get_mut(&key.0) else { continue };
-            // An ended job's pages only matter while tasks are bound.
-            if (job.ended.is_some() && job.bound.is_empty()) || job.remaining() == 0 {
-                continue;
-            }
-            let content = job.page(key.1, size);
-            let Ok(value) = store::value(&content) else { continue };
-            job.pages.insert(key.1);
-            let page = store::page_key(&key.0, key.1);
-            let version =
-                picture.pages.get(&key.0).and_then(|p| p.get(&key.1)).map_or(0, |p| p.version);
-            self.inflight.insert(key.clone());
-            commits.push(Commit {
-                conditions: vec![lead.clone(), Condition { key: page.clone(), version }],
-                writes: vec![Write::Put { key: page, value, lease: None }],
-                kind: CommitKind::Page { job: key.0, page: key.1, content },
-            });
-        }
         for id in std::mem::take(&mut self.ending) {
             if let Some(commit) = self.end_commit(&id, &lead, picture) {
                 commits.push(commit);
@@ -1274,15 +1316,71 @@
             if let Ok(value) = store::value(&*self.types) {
                 let key = store::TYPES.to_owned();
                 commits.push(Commit {
-                    conditions: vec![lead, Condition { key: key.clone(), version }],
+                    conditions: vec![lead.clone(), Condition { key: key.clone(), version }],
                     writes: vec![Write::Put { key, value, lease: None }],
                     kind: CommitKind::Types,
                 });
             }
         }
+        for key in self.due_pages() {
+            commits.extend(self.page_commit(key, &lead, picture));
+        }
         commits
     }
 
+    fn writes_under_way(&self) -> usize {
+        self.settings.cluster.state.txn_ops * IN_FLIGHT
+    }
+
+    /// The pages that should be written next.
+    fn due_pages(&self) -> Vec<(JobId, u32)> {
+        let room = self.writes_under_way().saturating_sub(self.inflight.len());
+        if room == 0 {
+            return Vec::new();
+        }
+        let size = self.settings.page_tasks();
+        let mut due: Vec<_> = self
+            .dirty
+            .iter()
+            .filter(|key| !self.inflight.contains(*key))
+            .map(|key| {
+                let job = self.jobs.get(&key.0);
+                let places = job.is_some_and(|j| j.awaits_record(key.1, size));
+                let rank = job.map(|j| (std::cmp::Reverse(j.spec.priority), j.arrival));
+                (!places, rank, key)
+            })
+            .collect();
+        due.sort();
+        due.truncate(room);
+        due.into_iter().map(|(.., key)| key.clone()).collect()
+    }
+
+    fn page_commit(
+        &mut self,
+        key: (JobId, u32),
+        lead: &Condition,
+        picture: &Picture,
+    ) -> Option<Commit> {
+        self.dirty.remove(&key);
+        let job = self.jobs.get_mut(&key.0)?;
+        // An ended job's pages only matter while tasks are bound.
+        if (job.ended.is_some() && job.bound.is_empty()) || job.remaining() == 0 {
+            return None;
+        }
+        let content = job.page(key.1, self.settings.page_tasks());
+        let value = store::value(&content).ok()?;
+        job.pages.insert(key.1);
+        let page = store::page_key(&key.0, key.1);
+        let version =
+            picture.pages.get(&key.0).and_then(|p| p.get(&key.1)).map_or(0, |p| p.version);
+        self.inflight.insert(key.clone());
+        Some(Commit {
+            conditions: vec![lead.clone(), Condition { key: page.clone(), version }],
+            writes: vec![Write::Put { key: page, value, lease: None }],
+            kind: CommitKind::Page { job: key.0, page: key.1, content },
+        })
+    }
+
     /// Creates the end record of a job whose tasks are all done, and drops
     /// the bulky records of one that has ended and left every machine.
     fn end_commit(&mut self, id: &JobId, lead: &Condition, picture: &Picture) -> Option<Commit> {
@@ -1291,7 +1389,7 @@
         if job.ending || !job.bound.is_empty() || !(finished || job.ended.is_some()) {
             return None;
         }
-        if self.inflight.iter().any(|(j, _)| j == id) {
+        if self.inflight.range((id.clone(), 0)..=(id.clone(), u32::MAX)).next().is_some() {
             // Asked again when that write is through.
             return None;
         }
@@ -1382,9 +1480,7 @@
     }
 
     pub fn has_writes(&self) -> bool {
-        self.dirty.iter().any(|k| !self.inflight.contains(k))
-            || !self.ending.is_empty()
-            || !self.types_stored
+        !self.dirty.is_empty() || !self.ending.is_empty() || !self.types_stored
     }
 
     /// One line for the operator.
@@ -1415,13 +1511,14 @@
         let waiting =
             self.jobs.values().filter(|j| j.bound.is_empty() && j.ended.is_none()).count();
         format!(
-            "jobs {} (waiting {waiting}), GPUs {} of {} ordinary ({misplaced} by work for spot) and {} of {} spot, machines {} (booting {booting}, ready {ready}, idle {idle})",
+            "jobs {} (waiting {waiting}), GPUs {} of {} ordinary ({misplaced} by work for spot) and {} of {} spot, machines {} (booting {booting}, ready {ready}, idle {idle}), {:?}",
             self.jobs.len(),
             used[1],
             held[1],
             used[0],
             held[0],
-            self.fleet.machines.len()
+            self.fleet.machines.len(),
+            self.effort
         )
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -693,6 +693,7 @@
             let picture = lock(&node.picture);
             node.with_leader(version, |leader| {
                 leader.tick(now, paused, alone);
+                leader.took(now, now.elapsed());
                 if told + report * 10 < now {
                     told = now;
                     info!("{}", leader.summary(now));
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -9,7 +9,7 @@
 pub mod placement;
 pub mod preemption;
 
-use std::{collections::HashMap, sync::Arc};
+use std::{cell::Cell, collections::HashMap, sync::Arc};
 
 use crate::{
     protocol::{JobId, JobSpec, MachineId, MachineType, Shape},
@@ -75,6 +75,8 @@
     pub ready: bool,
     /// Holds no task.
     pub empty: bool,
+    /// A place on it was given or held in this pass.
+    pub awaited: bool,
     pub images: Vec<Arc<str>>,
 }
 
@@ -168,12 +170,18 @@
     pub spare_room: f64,
     /// Whether the design's round is due now.
     pub round: bool,
+    /// How many places were weighed so far: what a pass costs.
+    pub weighed: Cell<u64>,
 }
 
 /// A bound task: the job's place in the snapshot and the binding's in the job.
 pub type Slot = (usize, usize);
 
 impl Snapshot<'_> {
+    fn weigh(&self, places: usize) {
+        self.weighed.set(self.weighed.get() + places as u64);
+    }
+
     /// The tasks bound to each machine.
     fn residents(&self) -> Vec<Vec<Slot>> {
         let mut residents = vec![Vec::new(); self.machines.len()];
@@ -206,6 +214,8 @@
     pub rent: Vec<(usize, u8, bool, u32)>,
     /// Machines, booting or held, that waiting work counts on.
     pub awaited: Vec<MachineId>,
+    /// Places weighed.
+    pub weighed: u64,
 }
 
 /// One pass: widths (in a round), then places, then room by preemption, then
@@ -215,6 +225,7 @@
     mark_guaranteed(&mut snapshot);
     admission::set_widths(&mut snapshot, &mut decisions);
     placement::place(&mut snapshot, &mut decisions);
+    decisions.weighed = snapshot.weighed.get();
     decisions
 }
 
--- a/src/scheduler/moving.rs
+++ b/src/scheduler/moving.rs
@@ -10,7 +10,7 @@
 
 use super::{
     BoundView, Decisions, Resources, Slot, Snapshot, Stopping,
-    placement::{Zones, allows, bind_in_thought, fetch_s, find},
+    placement::{Allowed, Zones, bind_in_thought, fetch_s, find},
 };
 
 /// Makes room for all tasks of a gang by moving replicas that have room
@@ -64,13 +64,15 @@
     let job = &snapshot.jobs[at];
     let need = Resources::of_task(&job.spec);
     let zones = Zones::of(job, |z| snapshot.settings.zone_index(z));
+    let allowed = Allowed::of(snapshot, job);
+    snapshot.weigh(snapshot.machines.len());
     let mut found = Vec::new();
     for (machine, view) in snapshot.machines.iter().enumerate() {
         let kind = &snapshot.types[view.kind];
         if !view.ready
             || !zones.allow(view.zone)
             || zone.is_some_and(|z| z != view.zone)
-            || !allows(&job.spec, kind, view.spot)
+            || !allowed.takes(view)
             || job.avoid.contains(&view.id)
         {
             continue;
@@ -142,6 +144,7 @@
 
 /// Notes a gang's held place, whose room is taken out already.
 fn bind_held(snapshot: &mut Snapshot<'_>, at: usize, machine: usize) {
+    snapshot.machines[machine].awaited = true;
     let zone = snapshot.machines[machine].zone;
     snapshot.jobs[at].bound.push(BoundView::held(machine, zone, true));
 }
@@ -181,18 +184,14 @@
             break;
         }
         // A machine that a move just decided on counts on stays.
-        let taken_in = residents[machine].len() != bound_count(snapshot, machine);
-        if !taken_in && clear(snapshot, &residents[machine], machine, decisions) {
+        if !snapshot.machines[machine].awaited
+            && clear(snapshot, &residents[machine], machine, decisions)
+        {
             room -= 1.0;
         }
     }
 }
 
-fn bound_count(snapshot: &Snapshot<'_>, machine: usize) -> usize {
-    let here = |b: &&BoundView| b.machine == Some(machine);
-    snapshot.jobs.iter().map(|j| j.bound.iter().filter(here).count()).sum()
-}
-
 /// Moves all of a machine's replicas to machines in use that hold their
 /// images; all of them or none.
 fn clear(
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -1,6 +1,9 @@
 //! Which machine each task starts on, and which machines to rent for the rest.
 
-use std::collections::BTreeMap;
+use std::{
+    cmp::Ordering,
+    collections::{BTreeMap, BinaryHeap, HashMap},
+};
 
 use crate::protocol::{JobSpec, MachineId, MachineType, Shape};
 
@@ -19,6 +22,20 @@
         && Resources::of_type(kind).holds(&Resources::of_task(spec))
 }
 
+/// Which kinds of machine a job may use, told once for all machines.
+pub struct Allowed(Vec<[bool; 2]>);
+
+impl Allowed {
+    pub fn of(snapshot: &Snapshot<'_>, job: &JobView) -> Self {
+        let both = |t| [allows(&job.spec, t, false), allows(&job.spec, t, true)];
+        Self(snapshot.types.iter().map(both).collect())
+    }
+
+    pub fn takes(&self, machine: &MachineView) -> bool {
+        self.0[machine.kind][usize::from(machine.spot)]
+    }
+}
+
 /// The zones that a job's tasks hold, and so where one more may go.
 #[derive(Clone)]
 pub struct Zones<'a> {
@@ -184,6 +201,7 @@
     let view = &mut snapshot.machines[machine];
     view.free.sub(&Resources::of_task(spec));
     view.empty = false;
+    view.awaited = true;
     if !view.images.contains(&spec.image) {
         view.images.push(spec.image.clone());
     }
@@ -196,11 +214,12 @@
     // An empty ordinary machine is dear and wanted whole by others: work that
     // may use spot machines leaves it alone while the cloud has those.
     let spot_comes = job.spec.spot && spot_obtainable(snapshot, job);
+    let allowed = Allowed::of(snapshot, job);
     let open: Vec<usize> = (0..snapshot.machines.len())
         .filter(|&m| {
             let machine = &snapshot.machines[m];
             machine.ready == ready
-                && allows(&job.spec, &snapshot.types[machine.kind], machine.spot)
+                && allowed.takes(machine)
                 && !job.avoid.contains(&machine.id)
                 && !(spot_comes && machine.empty && !machine.spot)
         })
@@ -244,6 +263,8 @@
     })
 }
 
+/// The cheapest places one after the other. A place taken changes the cost of
+/// its own machine only, so the others keep their order.
 fn fill(
     snapshot: &Snapshot<'_>,
     job: &JobView,
@@ -252,25 +273,61 @@
     mut zones: Zones<'_>,
 ) -> Vec<usize> {
     let need = Resources::of_task(&job.spec);
-    let mut free: BTreeMap<usize, Resources> =
-        open.iter().map(|&m| (m, snapshot.machines[m].free)).collect();
+    snapshot.weigh(open.len());
+    let mut free: HashMap<usize, Resources> = HashMap::new();
+    let mut places: BinaryHeap<Place> = open
+        .iter()
+        .map(|&m| (m, &snapshot.machines[m].free))
+        .filter(|(_, free)| free.holds(&need))
+        .map(|(machine, free)| Place { cost: cost(snapshot, job, machine, free, false), machine })
+        .collect();
     let mut found = Vec::new();
-    while found.len() < count {
-        let best = free
-            .iter()
-            .filter(|(m, free)| free.holds(&need) && zones.allow(snapshot.machines[**m].zone))
-            .map(|(&m, free)| (m, cost(snapshot, job, m, free, found.contains(&m))))
-            .min_by(|a, b| a.1.total_cmp(&b.1));
-        let Some((m, _)) = best else { break };
-        if let Some(free) = free.get_mut(&m) {
-            free.sub(&need);
+    while found.len() < count
+        && let Some(Place { machine, .. }) = places.pop()
+    {
+        // What a zone refuses it goes on refusing as more places are taken.
+        if !zones.allow(snapshot.machines[machine].zone) {
+            continue;
+        }
+        zones.take(snapshot.machines[machine].zone);
+        found.push(machine);
+        let free = free.entry(machine).or_insert(snapshot.machines[machine].free);
+        free.sub(&need);
+        if free.holds(&need) {
+            snapshot.weigh(1);
+            places.push(Place { cost: cost(snapshot, job, machine, free, true), machine });
         }
-        zones.take(snapshot.machines[m].zone);
-        found.push(m);
     }
     found
 }
 
+/// A machine that could take one more task: the cheapest is the greatest, of
+/// equal ones the first.
+struct Place {
+    cost: f64,
+    machine: usize,
+}
+
+impl Ord for Place {
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.cost.total_cmp(&self.cost).then(other.machine.cmp(&self.machine))
+    }
+}
+
+impl PartialOrd for Place {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Place {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Place {}
+
 /// What a place costs, in seconds: the fetch of an image it lacks, the whole
 /// machine it breaks into, the room it leaves scattered, and an ordinary
 /// machine given to work that spot machines could do.
@@ -324,6 +381,7 @@
                 stopping: Resources::default(),
                 ready: false,
                 empty: true,
+                awaited: false,
                 images: Vec::new(),
             });
             let machine = snapshot.machines.len() - 1;
--- a/src/scheduler/preemption.rs
+++ b/src/scheduler/preemption.rs
@@ -3,7 +3,8 @@
 use crate::protocol::Shape;
 
 use super::{
-    BoundView, Decisions, Resources, Slot, Snapshot, Stopping, placement::Zones, placement::allows,
+    BoundView, Decisions, Resources, Slot, Snapshot, Stopping,
+    placement::{Allowed, Zones},
 };
 
 /// Makes room for `count` tasks of a job by stopping work of lower priority,
@@ -124,6 +125,7 @@
     // The room is held from now on: given to other work, it would have to be
     // made again and again.
     snapshot.machines[machine].free.sub(&need);
+    snapshot.machines[machine].awaited = true;
     let zone = snapshot.machines[machine].zone;
     snapshot.jobs[at].bound.push(BoundView::held(machine, zone, true));
 }
@@ -140,12 +142,14 @@
     let job = &snapshot.jobs[at];
     let need = Resources::of_task(&job.spec);
     let zones = Zones::of(job, |z| snapshot.settings.zone_index(z));
+    let allowed = Allowed::of(snapshot, job);
+    snapshot.weigh(snapshot.machines.len());
     let mut best: Option<(f64, usize, Vec<Slot>)> = None;
     for (m, machine) in snapshot.machines.iter().enumerate() {
         if !machine.ready
             || !zones.allow(machine.zone)
             || zone.is_some_and(|z| z != machine.zone)
-            || !allows(&job.spec, &snapshot.types[machine.kind], machine.spot)
+            || !allowed.takes(machine)
             || job.avoid.contains(&machine.id)
             || (cached && !machine.images.contains(&job.spec.image))
         {
--- a/src/state.rs
+++ b/src/state.rs
@@ -227,7 +227,7 @@
 }
 
 /// Transactions under way at once: one slow answer must not stop all writing.
-const IN_FLIGHT: usize = 3;
+pub const IN_FLIGHT: usize = 3;
 
 impl Writer {
     pub fn new(api: Arc<dyn StateApi>, settings: &Settings, requests: Arc<Budget>) -> Self {
