Sockets: a share for the service's own calls, a bound on direct orders, users give way first

By reading: the leader kept a socket open per machine for its direct orders besides the one for its reports, and 24 were kept back for all of its own calls; at a thousand machines nothing would have been left for the state service. Direct calls get a sixteenth of the sockets and are closed soon, half-open connections end after two worker leases, and when sockets run short users' connections close after an answer. Machine lists are read 500 at a time.

--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -98,7 +98,7 @@
     }
 
     fn list(&self, since: &str) -> BoxFuture<'_, Result<MachineList, CloudError>> {
-        let mut path = "/rentals?Limit=200".to_owned();
+        let mut path = "/rentals?Limit=500".to_owned();
         if !since.is_empty() {
             path.push_str("&Since=");
             path.push_str(since);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -15,7 +15,10 @@
 use futures_util::future::BoxFuture;
 use hyper::{Method, StatusCode};
 
-use tokio::time::{Duration, Instant};
+use tokio::{
+    sync::Semaphore,
+    time::{Duration, Instant},
+};
 
 use crate::{
     http::client::{CallError, HttpClient},
@@ -47,12 +50,18 @@
 pub struct HttpWorkers {
     client: HttpClient,
     timeout: Duration,
+    /// A socket for each: without a bound, a thousand machines that restart
+    /// together would leave none for the state service.
+    calls: Semaphore,
 }
 
 impl HttpWorkers {
     pub fn new(settings: &Settings) -> Self {
         let timeout = settings.report();
-        Self { client: HttpClient::new(1, timeout * 8, timeout), timeout }
+        // Orders to one machine mostly come alone, so nothing is kept open
+        // for longer than a call may last.
+        let client = HttpClient::new(1, timeout / 4, timeout);
+        Self { client, timeout, calls: Semaphore::new(settings.direct_calls()) }
     }
 }
 
@@ -66,6 +75,7 @@
         Box::pin(async move {
             let addr = addr.map_err(|e| CallError::Malformed(e.to_string()))?;
             let body = Some(&orders);
+            let _call = self.calls.acquire().await;
             let answer =
                 self.client.call(Method::POST, addr, "/commands", body, self.timeout).await?;
             match answer.status {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -24,8 +24,9 @@
     protocol::{BODY_LIMIT, ErrorBody, Misdirected, Report, ReportAnswer},
 };
 
-/// Sockets kept back from incoming connections for the service's own calls.
-const OWN_SOCKETS: u32 = 24;
+/// While fewer than one in so many of the public sockets is free, users'
+/// connections are closed after an answer: workers come first.
+const SCARCE: usize = 8;
 
 fn json<T: serde::Serialize>(status: StatusCode, body: &T) -> Response {
     warp::reply::with_status(warp::reply::json(body), status).into_response()
@@ -146,9 +147,11 @@
 
 /// Accepts connections until told to stop, with a routine for each.
 pub async fn serve(node: Arc<Node>, listener: TcpListener, stop: CancellationToken) {
-    let limit = node.settings.cluster.quota.fd_limit.saturating_sub(OWN_SOCKETS).max(8);
-    let slots = Arc::new(Semaphore::new(limit as usize));
-    let idle = node.settings.worker_lease() * 6;
+    let limit = node.settings.public_sockets();
+    let slots = Arc::new(Semaphore::new(limit));
+    // A worker that was silent for longer has left; what a cut left half open
+    // must not hold a socket for long.
+    let idle = node.settings.worker_lease() * 2;
     let service = warp::service(routes(node));
     let connections = TaskTracker::new();
     loop {
@@ -159,9 +162,20 @@
         let Some(stream) = super::accept(&listener, &stop).await else { break };
         let _ = stream.set_nodelay(true);
         let inner = TowerToHyperService::new(service.clone());
+        let free = slots.clone();
         let service = service_fn(move |request: Request<Incoming>| {
+            let gives_way = !request.uri().path().starts_with("/agent/")
+                && free.available_permits() < limit / SCARCE;
             let request = request.map(|body| Limited::new(body, BODY_LIMIT));
-            hyper::service::Service::call(&inner, request)
+            let answer = hyper::service::Service::call(&inner, request);
+            async move {
+                let mut answer = answer.await;
+                if let (true, Ok(answer)) = (gives_way, &mut answer) {
+                    let close = HeaderValue::from_static("close");
+                    answer.headers_mut().insert(header::CONNECTION, close);
+                }
+                answer
+            }
         });
         let stop = stop.clone();
         connections.spawn(async move {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,6 +9,13 @@
 use serde::Deserialize;
 use thiserror::Error;
 
+/// Idle connections kept to the state service and to the cloud, twice: those
+/// that a cut left half open take theirs until they time out.
+const STATE_SOCKETS: usize = 16;
+const CLOUD_SOCKETS: usize = 8;
+/// Listeners, the runtime's own, standard streams.
+const BASE_SOCKETS: usize = 12;
+
 /// One line that names the file, the field and the reason.
 #[derive(Debug, Error, PartialEq)]
 #[error("{file}: {field}: {reason}")]
@@ -345,6 +352,21 @@
         self.leader_lease() / 3
     }
 
+    /// Direct calls to workers under way at once. Each takes a socket, and to
+    /// machines that hang for as long as a call may last.
+    pub fn direct_calls(&self) -> usize {
+        (self.cluster.quota.fd_limit as usize / 16).max(2)
+    }
+
+    /// Sockets that incoming connections of users and workers may take: all
+    /// but those of the node's own calls. The state service, the cloud and the
+    /// other controllers must always find one.
+    pub fn public_sockets(&self) -> usize {
+        let links = self.members.len() * 3;
+        let own = self.direct_calls() + STATE_SOCKETS + CLOUD_SOCKETS + links + BASE_SOCKETS;
+        (self.cluster.quota.fd_limit as usize).saturating_sub(own).max(8)
+    }
+
     /// This node's fair share of a budget that all controllers live on. The
     /// leader does most of the work, so it gets half.
     pub fn share(&self, budget: f64, leads: bool) -> f64 {
