--- a/src/controller.rs
+++ b/src/controller.rs
@@ -951,6 +951,7 @@
                 empty as f64 + room
             },
             round,
+            roomy: false,
             weighed: Cell::new(0),
         };
         let decisions = scheduler::decide(snapshot);
@@ -1002,7 +1003,8 @@
             // end: nothing should count on it any more.
             let due = Duration::from_secs_f64(self.types[kind].boot_s * OVERDUE_BOOTS);
             let booting = machine.unborn() && machine.silence(now) < due;
-            let coming = (booting || self.fleet.comes_back(machine)) && !machine.deleting;
+            let cut = !booting && self.fleet.comes_back(machine);
+            let coming = (booting || cut) && !machine.deleting;
             if !ready && !coming {
                 continue;
             }
@@ -1026,6 +1028,7 @@
                 free,
                 stopping,
                 ready,
+                cut: cut && !ready,
                 empty: machine.bound.is_empty(),
                 awaited: false,
                 images: machine.images.iter().map(|(image, _)| image.clone()).collect(),
