Stories of a thousand machines: work in proportion to change, writes by priority

Found by the first: room that holds a replica's image was looked for over the whole fleet for each task of a job, 1.6 of 2.0 million places weighed in one pass; now once per job.

--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -197,12 +197,19 @@
     found: Vec<usize>,
     decisions: &mut Decisions,
 ) -> Vec<usize> {
+    // The longest fetch that no cached room could be had for: room only gets
+    // dearer, so there is no use in looking for it again.
+    let mut in_vain = 0.0;
     found
         .into_iter()
         .filter(|&m| {
             let fetch_s = fetch_s(snapshot, at, m);
-            fetch_s <= 0.0
-                || !preemption::make_cached_room(snapshot, residents, at, fetch_s, decisions)
+            let made = fetch_s > in_vain
+                && preemption::make_cached_room(snapshot, residents, at, fetch_s, decisions);
+            if !made {
+                in_vain = fetch_s.max(in_vain);
+            }
+            !made
         })
         .collect()
 }
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -757,3 +757,78 @@
     assert_eq!(duty.bound("j-000002"), [(0, "n-1".to_owned())]);
     assert!(duty.bound("j-000001").is_empty());
 }
+
+#[tokio::test(start_paused = true)]
+async fn after_a_loss_places_of_higher_priority_are_recorded_first() {
+    // Pages left in order of job id, all at once, and the write budget then
+    // brought sweeps back before the replicas that riders wait for.
+    let mut duty = Duty::new(5);
+    for n in 0..40 {
+        duty.report(&format!("n-{n:03}"), 1, &[]);
+    }
+    let shape = |rank: &str| json!({"Shape": "service", "Spokes": 1, "Gpus": 2.0, "Rank": rank});
+    for n in 0..100 {
+        let rank = if n % 4 == 3 { "production" } else { "best_effort" };
+        duty.submit(&format!("j-{n:06}"), shape(rank));
+    }
+    duty.pass(0.2);
+    let commits = duty.commits();
+    let under_way = 24 * stonewheel::state::IN_FLIGHT;
+    assert_eq!(commits.len(), under_way, "no more at once than the transactions hold");
+    let production = commits.iter().take_while(|c| match &c.kind {
+        CommitKind::Page { job, .. } => job[2..].parse::<u32>().expect("a number") % 4 == 3,
+        _ => false,
+    });
+    assert_eq!(production.count(), 25, "all of them, and before all others");
+    assert!(duty.commits().is_empty(), "the rest waits its turn");
+    duty.commit(commits);
+    assert_eq!(duty.commits().len(), 100 - under_way);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_thousand_machines_cost_work_in_proportion_to_what_changes() {
+    const MACHINES: u64 = 1000;
+    let mut duty = Duty::new(5);
+    let name = |n: u64| format!("n-{n:06}");
+    for n in 0..MACHINES {
+        duty.report(&name(n), 1, &[]);
+    }
+    for n in 0..400 {
+        let job = json!({"Shape": "service", "Spokes": 4, "Gpus": 4.0, "Rank": "production"});
+        duty.submit(&format!("j-{n:06}"), job);
+    }
+    for n in 400..440 {
+        duty.submit(&format!("j-{n:06}"), json!({"Spokes": 30}));
+    }
+    let before = duty.leader.effort;
+    duty.pass(0.2);
+    let filled = duty.leader.effort;
+    assert_eq!(filled.passes - before.passes, 1, "one pass places all of it");
+    let weighed = filled.weighed - before.weighed;
+    // Each machine twice for each job (free room, and room that holds its
+    // image), and once more for each task.
+    assert!(weighed < 2 * 440 * MACHINES + 2800, "{weighed} places weighed");
+    let mut tasks: BTreeMap<u64, Vec<TaskReport>> = BTreeMap::new();
+    for _ in 0..60 {
+        let commits = duty.commits();
+        duty.commit(commits);
+    }
+    for n in 0..MACHINES {
+        let orders = duty.report(&name(n), 1, &[]);
+        tasks.insert(n, ops(&orders, Op::Start).into_iter().map(running).collect());
+    }
+    let held: usize = tasks.values().map(Vec::len).sum();
+    assert_eq!(held, 2800);
+    // A second in which everybody reports and nothing changes.
+    duty.pass(0.2);
+    let before = duty.leader.effort;
+    for n in 0..MACHINES {
+        duty.report(&name(n), 1, &tasks[&n]);
+        duty.pass(0.001);
+    }
+    let after = duty.leader.effort;
+    assert_eq!(after.reports - before.reports, MACHINES);
+    assert_eq!(after.reviewed - before.reviewed, 2 * held as u64, "its own tasks each, twice");
+    assert!(after.rounds_of_care - before.rounds_of_care <= 8, "not one for each report");
+    assert_eq!(after.passes, before.passes, "nothing changed");
+}
