--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -172,8 +172,8 @@
     pub spare_room: f64,
     /// Whether the design's round is due now.
     pub round: bool,
-    /// Room that is free or coming holds all services that wait, so what is
-    /// stopped for one comes back soon.
+    /// Room that is free or coming holds all rigid work that waits, so what is
+    /// stopped for it comes back soon.
     pub roomy: bool,
     /// How many places were weighed so far: what a pass costs.
     pub weighed: Cell<u64>,
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -130,8 +130,8 @@
     rent(snapshot, &lacking, decisions);
 }
 
-/// Whether ordinary machines, up or coming, have room for all services that
-/// wait. Gangs wait for whole machines, which says little of other room.
+/// Whether ordinary machines, up or coming, have room for all services and
+/// gangs that wait.
 fn roomy(snapshot: &Snapshot<'_>) -> bool {
     let total = |kind: usize| Resources::of_type(&snapshot.types[kind]);
     let ordinary = snapshot.machines.iter().filter(|m| !m.spot && !m.cut);
@@ -141,8 +141,8 @@
         let shares = (0..snapshot.types.len()).map(|kind| need.share_of(&total(kind)));
         shares.fold(f64::INFINITY, f64::min) * job.startable() as f64
     };
-    let services = snapshot.jobs.iter().filter(|j| j.spec.shape == Shape::Service);
-    services.map(least).sum::<f64>() <= free
+    let rigid = snapshot.jobs.iter().filter(|j| j.spec.shape != Shape::Array);
+    rigid.map(least).sum::<f64>() <= free
 }
 
 /// The share of a machine that is in use.
