--- a/src/controller.rs
+++ b/src/controller.rs
@@ -951,7 +951,6 @@
                 empty as f64 + room
             },
             round,
-            roomy: false,
             weighed: Cell::new(0),
         };
         let decisions = scheduler::decide(snapshot);
@@ -1003,8 +1002,7 @@
             // end: nothing should count on it any more.
             let due = Duration::from_secs_f64(self.types[kind].boot_s * OVERDUE_BOOTS);
             let booting = machine.unborn() && machine.silence(now) < due;
-            let cut = !booting && self.fleet.comes_back(machine);
-            let coming = (booting || cut) && !machine.deleting;
+            let coming = (booting || self.fleet.comes_back(machine)) && !machine.deleting;
             if !ready && !coming {
                 continue;
             }
@@ -1028,7 +1026,6 @@
                 free,
                 stopping,
                 ready,
-                cut: cut && !ready,
                 empty: machine.bound.is_empty(),
                 awaited: false,
                 images: machine.images.iter().map(|(image, _)| image.clone()).collect(),
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -73,8 +73,6 @@
     pub stopping: Resources,
     /// Takes tasks now; otherwise it is still booting.
     pub ready: bool,
-    /// Kept, but cut off: it comes back, nobody knows when.
-    pub cut: bool,
     /// Holds no task.
     pub empty: bool,
     /// A place on it was given or held in this pass.
@@ -172,9 +170,6 @@
     pub spare_room: f64,
     /// Whether the design's round is due now.
     pub round: bool,
-    /// Room that is free or coming holds all rigid work that waits, so what is
-    /// stopped for it comes back soon.
-    pub roomy: bool,
     /// How many places were weighed so far: what a pass costs.
     pub weighed: Cell<u64>,
 }
--- a/src/scheduler/moving.rs
+++ b/src/scheduler/moving.rs
@@ -10,7 +10,7 @@
 
 use super::{
     BoundView, Decisions, Resources, Slot, Snapshot, Stopping,
-    placement::{Allowed, Zones, bind_in_thought, fetch_s, find, used_share},
+    placement::{Allowed, Zones, bind_in_thought, fetch_s, find},
 };
 
 /// Makes room for all tasks of a gang by moving replicas that have room
@@ -153,8 +153,10 @@
 /// runs out, what is left would keep many half-empty machines for long.
 pub fn gather(snapshot: &mut Snapshot<'_>, residents: &[Vec<Slot>], decisions: &mut Decisions) {
     let load = |snapshot: &Snapshot<'_>, m: usize| {
-        let machine = &snapshot.machines[m];
-        used_share(machine, &Resources::of_type(&snapshot.types[machine.kind]))
+        let total = Resources::of_type(&snapshot.types[snapshot.machines[m].kind]);
+        let mut used = total;
+        used.sub(&snapshot.machines[m].free);
+        used.share_of(&total)
     };
     let ordinary: Vec<usize> = (0..residents.len())
         .filter(|&m| snapshot.machines[m].ready && !snapshot.machines[m].spot)
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -73,7 +73,6 @@
 
 pub fn place(snapshot: &mut Snapshot<'_>, decisions: &mut Decisions) {
     let mut lacking: Vec<(usize, Vec<u32>)> = Vec::new();
-    snapshot.roomy = roomy(snapshot);
     // What is only placed in thought here is not yet anybody's to stop.
     let residents = snapshot.residents();
     for at in order(snapshot) {
@@ -130,28 +129,6 @@
     rent(snapshot, &lacking, decisions);
 }
 
-/// Whether ordinary machines, up or coming, have room for all services and
-/// gangs that wait.
-fn roomy(snapshot: &Snapshot<'_>) -> bool {
-    let total = |kind: usize| Resources::of_type(&snapshot.types[kind]);
-    let ordinary = snapshot.machines.iter().filter(|m| !m.spot && !m.cut);
-    let free: f64 = ordinary.map(|m| 1.0 - used_share(m, &total(m.kind))).sum();
-    let least = |job: &JobView| {
-        let need = Resources::of_task(&job.spec);
-        let shares = (0..snapshot.types.len()).map(|kind| need.share_of(&total(kind)));
-        shares.fold(f64::INFINITY, f64::min) * job.startable() as f64
-    };
-    let rigid = snapshot.jobs.iter().filter(|j| j.spec.shape != Shape::Array);
-    rigid.map(least).sum::<f64>() <= free
-}
-
-/// The share of a machine that is in use.
-pub fn used_share(machine: &MachineView, total: &Resources) -> f64 {
-    let mut used = *total;
-    used.sub(&machine.free);
-    used.share_of(total)
-}
-
 /// Whether the rest of a gang's room will come by itself: machines that boot
 /// or can be rented in the zone where the gang has found some.
 fn comes(snapshot: &Snapshot<'_>, at: usize, found: &[usize], count: usize) -> bool {
@@ -410,7 +387,6 @@
                 free: Resources::of_type(&snapshot.types[kind]),
                 stopping: Resources::default(),
                 ready: false,
-                cut: false,
                 empty: true,
                 awaited: false,
                 images: Vec::new(),
--- a/src/scheduler/preemption.rs
+++ b/src/scheduler/preemption.rs
@@ -166,13 +166,10 @@
             }
             // Arrays lose little. A replica is away until room is found or
             // booted for it, so it goes last, and only for one that ranks
-            // higher while there is room for both: in a fleet at its limit
-            // two of its kind would wait for each that came back. Stopping
-            // one task of a gang costs all of it.
-            let makes_way = job.spec.shape == Shape::Service && snapshot.roomy && bound.settled;
+            // higher; stopping one task of a gang costs all of it.
             match other.spec.shape {
                 Shape::Array => candidates.push((bound.loss_s, j, slot)),
-                Shape::Service if makes_way => {
+                Shape::Service if job.spec.shape == Shape::Service && bound.settled => {
                     candidates.push((snapshot.types[machine.kind].boot_s, j, slot));
                 }
                 _ => {}
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -742,12 +742,7 @@
         duty.pass(1.0);
         duty.report("n-1", 1, std::slice::from_ref(&task));
     }
-    // In a fleet at its limit nothing would be gained.
-    let orders = duty.report("n-1", 1, std::slice::from_ref(&task));
-    assert!(ops(&orders, Op::Stop).is_empty());
-    for rental in duty.leader.take_rentals() {
-        duty.leader.rented(&rental, Some(vec!["n-2".into()]), duty.now);
-    }
+    duty.submit("j-000003", rank("high"));
     duty.pass(1.0);
     let orders = duty.report("n-1", 1, std::slice::from_ref(&task));
     assert_eq!(ops(&orders, Op::Stop).len(), 1);
@@ -755,7 +750,7 @@
     duty.report("n-1", 1, &[stopped]);
     duty.settle();
     assert_eq!(duty.bound("j-000002"), [(0, "n-1".to_owned())]);
-    assert!(duty.bound("j-000001").is_empty());
+    assert!(duty.bound("j-000001").is_empty() && duty.bound("j-000003").is_empty());
 }
 
 #[tokio::test(start_paused = true)]
