--- a/src/scheduler/preemption.rs
+++ b/src/scheduler/preemption.rs
@@ -161,18 +161,13 @@
         for &(j, slot) in residents.get(m).into_iter().flatten() {
             let other = &snapshot.jobs[j];
             let bound = &other.bound[slot];
-            if other.spec.priority >= job.spec.priority || bound.stopping {
-                continue;
-            }
-            // Arrays lose little. A replica is away until room is found or
-            // booted for it, so it goes last, and only for one that ranks
-            // higher; stopping one task of a gang costs all of it.
-            match other.spec.shape {
-                Shape::Array => candidates.push((bound.loss_s, j, slot)),
-                Shape::Service if job.spec.shape == Shape::Service && bound.settled => {
-                    candidates.push((snapshot.types[machine.kind].boot_s, j, slot));
-                }
-                _ => {}
+            // Only arrays: stopping a replica or a gang costs its whole job,
+            // and work that is dearer to stop waits for a rented machine.
+            if other.spec.priority < job.spec.priority
+                && other.spec.shape == Shape::Array
+                && !bound.stopping
+            {
+                candidates.push((bound.loss_s, j, slot));
             }
         }
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
