--- a/src/settings.rs
+++ b/src/settings.rs
@@ -149,7 +149,7 @@
 
 impl Default for Operator {
     fn default() -> Self {
-        Self { round_s: 4.0, resize_gain: 0.05, gang_slope: 0.1, idle_boots: 0.5, headroom: 0.4 }
+        Self { round_s: 4.0, resize_gain: 0.05, gang_slope: 0.1, idle_boots: 0.25, headroom: 0.4 }
     }
 }
 
