--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -798,3 +798,40 @@
     assert!(after.rounds_of_care - before.rounds_of_care <= 8, "not one for each report");
     assert_eq!(after.passes, before.passes, "nothing changed");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_team_returns_what_it_borrowed_beyond_its_guarantee() {
+    // Red is guaranteed 8 GPUs; blue has no guarantee and runs on red's.
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    let service = |team: &str, gpus: f64| json!({"Shape": "service", "Crew": team, "Spokes": 1, "Gpus": gpus});
+    duty.submit("j-000001", service("blue", 4.0));
+    duty.submit("j-000002", service("blue", 4.0));
+    duty.settle();
+    let orders = duty.report("n-1", 1, &[]);
+    let tasks: Vec<_> = ops(&orders, Op::Start).into_iter().map(running).collect();
+    assert_eq!(tasks.len(), 2);
+    for _ in 0..31 {
+        duty.report("n-1", 1, &tasks);
+        duty.pass(1.0);
+    }
+    // Beyond its guarantee red may only wait, as may other work of blue.
+    duty.submit("j-000003", service("red", 9.0));
+    duty.submit("j-000004", service("blue", 4.0));
+    duty.pass(1.0);
+    assert!(ops(&duty.report("n-1", 1, &tasks), Op::Stop).is_empty());
+    duty.cancel("j-000003");
+    duty.submit("j-000005", service("red", 4.0));
+    duty.pass(1.0);
+    let orders = duty.report("n-1", 1, &tasks);
+    assert_eq!(ops(&orders, Op::Stop).len(), 1, "only as much as red needs");
+    let stopped = ops(&orders, Op::Stop)[0].clone();
+    let stay: Vec<_> = tasks.into_iter().filter(|t| t.task != stopped.task).collect();
+    let gone = exited_with(&stopped, TaskState::Exited, Some(Cause::Stopped));
+    duty.report("n-1", 1, &[stay[0].clone(), gone]);
+    duty.settle();
+    assert_eq!(duty.bound("j-000005"), [(0, "n-1".to_owned())]);
+    // Nor does blue get it back from red.
+    duty.pass(1.0);
+    assert!(ops(&duty.report("n-1", 1, &stay), Op::Stop).is_empty());
+}
