--- a/src/controller.rs
+++ b/src/controller.rs
@@ -943,7 +943,6 @@
             machines,
             jobs,
             usage: self.usage.clone(),
-            running: self.running(),
             refused: self.refused.keys().copied().collect(),
             spare: self.spare_machines(),
             spare_spot: self.spare_spot(),
@@ -1035,16 +1034,6 @@
         views
     }
 
-    /// What the teams use apart from what is being stopped.
-    fn running(&self) -> HashMap<Arc<str>, TeamUse> {
-        let mut running: HashMap<Arc<str>, TeamUse> = HashMap::new();
-        for job in self.jobs.values().filter(|j| j.ended.is_none()) {
-            let going_on = job.bound.values().filter(|b| b.stop.is_none()).count();
-            running.entry(job.spec.team.clone()).or_default().count(&job.spec, going_on as f64);
-        }
-        running
-    }
-
     fn job_view(&self, job: &Job, index: &HashMap<&MachineId, usize>, now: Instant) -> JobView {
         // Enough for any width the fleet could hold.
         let limit = index.len() * 64 + 512;
@@ -1535,5 +1524,7 @@
 }
 
 fn use_team(usage: &mut HashMap<Arc<str>, TeamUse>, spec: &JobSpec, sign: f64) {
-    usage.entry(spec.team.clone()).or_default().count(spec, sign);
+    let team = usage.entry(spec.team.clone()).or_default();
+    team.cpus += sign * spec.cpus;
+    team.gpus += sign * spec.gpus;
 }
--- a/src/scheduler/admission.rs
+++ b/src/scheduler/admission.rs
@@ -82,7 +82,8 @@
     for &at in &arrays {
         let job = &snapshot.jobs[at];
         let team = used.entry(job.spec.team.clone()).or_default();
-        team.count(&job.spec, -(job.bound.len() as f64));
+        team.cpus -= job.spec.cpus * job.bound.len() as f64;
+        team.gpus -= job.spec.gpus * job.bound.len() as f64;
     }
     let mut curves = Vec::with_capacity(arrays.len());
     for &at in &arrays {
@@ -90,7 +91,8 @@
         let usage = used.entry(job.spec.team.clone()).or_default();
         let limit = team_room(snapshot.settings.team(&job.spec.team), usage, &job.spec);
         let max = job.remaining.min(limit);
-        usage.count(&job.spec, f64::from(max));
+        usage.cpus += job.spec.cpus * f64::from(max);
+        usage.gpus += job.spec.gpus * f64::from(max);
         let cost = cost(&Resources::of_task(&job.spec));
         curves.push(Curve { min: 1, max, cost, slope: 0.0 });
     }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -145,20 +145,12 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct TeamUse {
     pub cpus: f64,
     pub gpus: f64,
 }
 
-impl TeamUse {
-    /// Counts so many more tasks of a job, or fewer.
-    pub fn count(&mut self, spec: &JobSpec, tasks: f64) {
-        self.cpus += spec.cpus * tasks;
-        self.gpus += spec.gpus * tasks;
-    }
-}
-
 #[derive(Clone)]
 pub struct Snapshot<'a> {
     pub settings: &'a Settings,
@@ -166,10 +158,8 @@
     pub machines: Vec<MachineView>,
     /// In order of arrival.
     pub jobs: Vec<JobView>,
-    /// What each team's bound tasks use, and what was decided on in this pass.
+    /// What each team's bound tasks use.
     pub usage: HashMap<Arc<str>, TeamUse>,
-    /// What each team's bound tasks use that are not being stopped.
-    pub running: HashMap<Arc<str>, TeamUse>,
     /// Kinds of machine (type, zone, spot) that the cloud refused lately.
     pub refused: Vec<(usize, u8, bool)>,
     /// Empty ordinary machines to have ready for what may come.
@@ -259,7 +249,8 @@
     let mut asked: HashMap<Arc<str>, TeamUse> = HashMap::new();
     for job in &mut snapshot.jobs {
         let team = asked.entry(job.spec.team.clone()).or_default();
-        team.count(&job.spec, f64::from(job.remaining));
+        team.cpus += job.spec.cpus * f64::from(job.remaining);
+        team.gpus += job.spec.gpus * f64::from(job.remaining);
         job.guaranteed = snapshot
             .settings
             .team(&job.spec.team)
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -95,7 +95,8 @@
             found = without_fetches(snapshot, &residents, at, found, decisions);
         }
         let usage = snapshot.usage.entry(spec.team.clone()).or_default();
-        usage.count(&spec, tasks.len() as f64);
+        usage.cpus += spec.cpus * tasks.len() as f64;
+        usage.gpus += spec.gpus * tasks.len() as f64;
         if spec.shape == Shape::Gang && found.len() < tasks.len() {
             let count = tasks.len();
             if preemption::make_room(snapshot, &residents, at, count, decisions) == count {
--- a/src/scheduler/preemption.rs
+++ b/src/scheduler/preemption.rs
@@ -1,17 +1,14 @@
-//! Room for work of higher priority, and for work within its team's guarantee:
-//! which running tasks are stopped for it.
+//! Room for work of higher priority: which running tasks are stopped for it.
 
-use std::{collections::HashMap, sync::Arc};
-
-use crate::protocol::{JobSpec, Shape};
+use crate::protocol::Shape;
 
 use super::{
-    BoundView, Decisions, JobView, Resources, Slot, Snapshot, Stopping, TeamUse,
+    BoundView, Decisions, Resources, Slot, Snapshot, Stopping,
     placement::{Allowed, Zones},
 };
 
-/// Makes room for `count` tasks of a job by stopping work of lower priority, or
-/// what other teams run beyond their guarantees, the least lost work first, and holds that room for them. Returns for how
+/// Makes room for `count` tasks of a job by stopping work of lower priority,
+/// the least lost work first, and holds that room for them. Returns for how
 /// many tasks it did; for a gang that is all or none.
 pub fn make_room(
     snapshot: &mut Snapshot<'_>,
@@ -83,10 +80,8 @@
         let machine = &mut snapshot.machines[room.machine];
         machine.free.add(&need);
         for (job, slot) in room.victims {
-            let spec = snapshot.jobs[job].spec.clone();
-            machine.stopping.sub(&Resources::of_task(&spec));
+            machine.stopping.sub(&Resources::of_task(&snapshot.jobs[job].spec));
             snapshot.jobs[job].bound[slot].stopping = false;
-            snapshot.running.entry(spec.team.clone()).or_default().count(&spec, 1.0);
         }
         snapshot.jobs[at].bound.pop();
     }
@@ -125,7 +120,6 @@
             at_once: patience_s.is_some_and(|p| p > 0.0 && p < spec.save_s * 1.5),
         };
         decisions.stop.push(stop);
-        snapshot.running.entry(spec.team.clone()).or_default().count(&spec, -1.0);
         snapshot.machines[machine].stopping.add(&Resources::of_task(&spec));
     }
     // The room is held from now on: given to other work, it would have to be
@@ -149,7 +143,6 @@
     let need = Resources::of_task(&job.spec);
     let zones = Zones::of(job, |z| snapshot.settings.zone_index(z));
     let allowed = Allowed::of(snapshot, job);
-    let claims = claims(snapshot, job);
     snapshot.weigh(snapshot.machines.len());
     let mut best: Option<(f64, usize, Vec<Slot>)> = None;
     for (m, machine) in snapshot.machines.iter().enumerate() {
@@ -164,44 +157,26 @@
         }
         let mut room = machine.free;
         room.add(&machine.stopping);
-        let mut candidates: Vec<(f64, usize, usize, bool)> = Vec::new();
+        let mut candidates: Vec<(f64, usize, usize)> = Vec::new();
         for &(j, slot) in residents.get(m).into_iter().flatten() {
             let other = &snapshot.jobs[j];
             let bound = &other.bound[slot];
-            if bound.stopping {
-                continue;
-            }
-            // For a priority only arrays: stopping a replica or a gang costs
-            // its whole job, and work that is dearer to stop waits for a
-            // rented machine. A guarantee is the team's due: replicas that
-            // run on what other teams lend make way too, once their start
-            // counted, but last.
-            let array = other.spec.shape == Shape::Array;
-            if array && other.spec.priority < job.spec.priority {
-                candidates.push((bound.loss_s, j, slot, false));
-            } else if claims && other.spec.team != job.spec.team {
-                if array {
-                    candidates.push((bound.loss_s, j, slot, true));
-                } else if other.spec.shape == Shape::Service && bound.settled {
-                    let boot_s = snapshot.types[machine.kind].boot_s;
-                    candidates.push((boot_s, j, slot, true));
-                }
+            // Only arrays: stopping a replica or a gang costs its whole job,
+            // and work that is dearer to stop waits for a rented machine.
+            if other.spec.priority < job.spec.priority
+                && other.spec.shape == Shape::Array
+                && !bound.stopping
+            {
+                candidates.push((bound.loss_s, j, slot));
             }
         }
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut victims = Vec::new();
         let mut loss = 0.0;
-        let mut returned: HashMap<Arc<str>, TeamUse> = HashMap::new();
-        for (lost, j, slot, lent) in candidates {
+        for (lost, j, slot) in candidates {
             if room.holds(&need) {
                 break;
             }
-            let spec = &snapshot.jobs[j].spec;
-            let returned = returned.entry(spec.team.clone()).or_default();
-            if lent && !lends(snapshot, spec, returned) {
-                continue;
-            }
-            returned.count(spec, 1.0);
             room.add(&Resources::of_task(&snapshot.jobs[j].spec));
             loss += lost;
             victims.push((j, slot));
@@ -212,20 +187,3 @@
     }
     best.map(|(loss_s, machine, victims)| Made { machine, victims, loss_s })
 }
-
-/// Whether a job may claim its team's guarantee: later work of its own team
-/// may have taken it already.
-fn claims(snapshot: &Snapshot<'_>, job: &JobView) -> bool {
-    let used = snapshot.usage.get(&job.spec.team).copied().unwrap_or_default();
-    let team = snapshot.settings.team(&job.spec.team);
-    job.guaranteed && team.is_some_and(|t| t.guarantees(used.cpus, used.gpus))
-}
-
-/// Whether a task runs on what its team has beyond its guarantee, besides what
-/// the team returns already.
-fn lends(snapshot: &Snapshot<'_>, spec: &JobSpec, returned: &TeamUse) -> bool {
-    let used = snapshot.running.get(&spec.team).copied().unwrap_or_default();
-    let (cpus, gpus) = (used.cpus - returned.cpus, used.gpus - returned.gpus);
-    let team = snapshot.settings.team(&spec.team);
-    team.is_some_and(|t| t.lends(cpus, gpus, spec.cpus, spec.gpus))
-}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -85,13 +85,6 @@
     pub fn guarantees(&self, cpus: f64, gpus: f64) -> bool {
         (self.cpus > 0.0 || self.gpus > 0.0) && within(cpus, self.cpus) && within(gpus, self.gpus)
     }
-
-    /// Whether a team that uses so much runs a task of this size beyond its
-    /// guarantee: what is left without it still covers the guarantee.
-    pub fn lends(&self, cpus: f64, gpus: f64, task_cpus: f64, task_gpus: f64) -> bool {
-        let covered = |used: f64, task: f64, own: f64| own <= 0.0 || used - task >= own - 1e-6;
-        covered(cpus, task_cpus, self.cpus) && covered(gpus, task_gpus, self.gpus)
-    }
 }
 
 /// Amounts are sums of decimal numbers, so equality needs a little slack.
