--- a/src/controller.rs
+++ b/src/controller.rs
@@ -8,7 +8,7 @@
 
 use std::{
     cell::Cell,
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
     sync::Arc,
 };
 
@@ -205,6 +205,8 @@
     refused: HashMap<(usize, u8, bool), Instant>,
     rentals: Vec<Rental>,
     renting: Vec<Rental>,
+    /// The load of work that may use spot machines, over the last boot time.
+    spot_loads: VecDeque<(Instant, f64)>,
     /// Machines with orders that should not wait for the next report.
     prompt: BTreeSet<MachineId>,
     deletions: Vec<MachineId>,
@@ -246,6 +248,7 @@
             refused: HashMap::new(),
             rentals: Vec::new(),
             renting: Vec::new(),
+            spot_loads: VecDeque::new(),
             prompt: BTreeSet::new(),
             deletions: Vec::new(),
             rental_count: 0,
@@ -794,6 +797,7 @@
         for (id, reason) in self.fleet.to_delete(&self.settings, boot, provable, now) {
             self.delete(&id, reason, now);
         }
+        self.note_spot_load(now);
         let (spare, spare_spot) = (self.spare_machines(), self.spare_spot());
         let mut idle: Vec<(bool, Instant, MachineId)> = self
             .fleet
@@ -850,24 +854,42 @@
 
     /// Empty spot machines kept ready for work that may use them and has an
     /// aim; as many more as they are cheaper than ordinary ones, since what a
-    /// late start costs is the same.
+    /// late start costs is the same. While that work grows, what it grew by
+    /// within the last boot is likely to come again within the next: rented
+    /// only when it has come, all of it would wait for a boot.
     fn spare_spot(&self) -> usize {
         let cheaper =
             |t: &MachineType| if t.spot_price > 0.0 { t.price / t.spot_price } else { 1.0 };
         let cheaper = self.types.iter().map(cheaper).fold(1.0, f64::max);
+        let load = self.spot_load();
+        let before = self.spot_loads.front().map_or(load, |(_, load)| *load);
+        let swing = load.sqrt() * self.settings.operator.headroom * cheaper;
+        (swing + (load - before).max(0.0)).round() as usize
+    }
+
+    /// The work, in machines, that may use spot machines and has an aim.
+    fn spot_load(&self) -> f64 {
         let aims = &self.settings.cluster.objectives;
-        let load: f64 = self
-            .jobs
+        self.jobs
             .values()
-            .filter(|job| job.spec.spot)
+            .filter(|job| job.spec.spot && job.ended.is_none())
             .filter(|job| aims.iter().any(|o| o.class.as_ref() == Some(&job.spec.class)))
             .map(|job| {
                 let need = Resources::of_task(&job.spec);
                 let shares = self.types.iter().map(|t| need.share_of(&Resources::of_type(t)));
                 shares.fold(f64::INFINITY, f64::min).min(1.0) * f64::from(job.remaining())
             })
-            .sum();
-        (load.sqrt() * self.settings.operator.headroom * cheaper).round() as usize
+            .sum()
+    }
+
+    /// Notes the load, for as long as a boot takes.
+    fn note_spot_load(&mut self, now: Instant) {
+        let boot_s = self.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
+        let boot = Duration::from_secs_f64(boot_s);
+        self.spot_loads.push_back((now, self.spot_load()));
+        while self.spot_loads.front().is_some_and(|(at, _)| now > *at + boot) {
+            self.spot_loads.pop_front();
+        }
     }
 
     /// How many empty ordinary machines that takes.
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -798,3 +798,31 @@
     assert!(after.rounds_of_care - before.rounds_of_care <= 8, "not one for each report");
     assert_eq!(after.passes, before.passes, "nothing changed");
 }
+
+#[tokio::test(start_paused = true)]
+async fn growth_of_work_for_spot_machines_is_met_before_it_comes() {
+    // In a fleet that starts from nothing every sweep of the first minutes
+    // waited for the boot that it had caused itself.
+    let mut duty = Duty::new(5);
+    let mut settings = settings("m-0");
+    settings.cluster.objectives.push(Objective {
+        kind: "finished".into(),
+        class: Some("train".into()),
+        within_s: Some(100.0),
+    });
+    duty.leader = Leader::new(Arc::new(settings), 1, 5, &duty.picture, duty.now);
+    duty.pass(1.0);
+    duty.submit("j-000001", json!({"Spokes": 64, "Driftwood": true}));
+    duty.pass(4.0);
+    let mut rented = 0;
+    for rental in duty.leader.take_rentals() {
+        let names = (0..rental.count).map(|n| format!("{}-{n}", rental.request).into()).collect();
+        duty.leader.rented(&rental, Some(names), duty.now);
+        rented += rental.count;
+    }
+    assert_eq!(rented, 8 + 4 + 8, "its own, 0.4 of the root times 20/6, and its growth again");
+    // A boot later without growth nothing more is rented.
+    duty.pass(21.0);
+    duty.pass(5.0);
+    assert!(duty.leader.take_rentals().is_empty());
+}
