--- a/src/controller.rs
+++ b/src/controller.rs
@@ -338,7 +338,7 @@
                         self.round_due = true;
                     }
                 }
-                Change::Lead => {}
+                Change::Lead | Change::Stray => {}
             }
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -99,6 +99,8 @@
     cared: Mutex<HashMap<MachineId, Instant>>,
     /// When a report was last turned away or answered in a leader's stead.
     stray: Mutex<Option<Instant>>,
+    /// When the watch last brought that another node turned reports away.
+    stray_told: Mutex<Option<Instant>>,
 }
 
 impl Node {
@@ -140,6 +142,7 @@
             state_good: Mutex::new(None),
             cared: Mutex::default(),
             stray: Mutex::new(None),
+            stray_told: Mutex::new(None),
         })
     }
 
@@ -413,7 +416,26 @@
             state_ok: self.state_ok(),
             // Told to every member alike: counted once for whoever was greeted
             // first, it never reached the leader that needed it.
-            strays: lock(&self.stray).is_some_and(|at| at.elapsed() < self.settings.report() * 2),
+            strays: self.strayed(),
+        }
+    }
+
+    /// Whether this node turned a report away lately.
+    fn strayed(&self) -> bool {
+        lock(&self.stray).is_some_and(|at| at.elapsed() < self.settings.report() * 2)
+    }
+
+    /// Tells a leader through the state service that workers live, if no
+    /// greeting can: connections between the controllers may be refused while
+    /// the leader loses its workers.
+    pub async fn tell_stray(&self) {
+        let heard = self.peers.any(self.settings.leader_lease(), |hello| hello.leads);
+        if heard || !self.strayed() || !self.state_ok() {
+            return;
+        }
+        if let Ok(value) = store::value(&self.settings.member) {
+            let put = Write::Put { key: store::STRAY.into(), value, lease: None };
+            let _ = self.writer.commit(Vec::new(), vec![put]).await;
         }
     }
 
@@ -480,7 +502,9 @@
     pub fn deserted(&self, version: u64) -> bool {
         let silent =
             self.with_leader(version, |leader| leader.deserted(Instant::now())).unwrap_or(false);
-        silent && self.peers.any(self.settings.report() * 2, |hello| hello.strays)
+        let lately = self.settings.report() * 2;
+        let told = lock(&self.stray_told).is_some_and(|at| at.elapsed() < lately);
+        silent && (told || self.peers.any(lately, |hello| hello.strays))
     }
 
     fn with_leader<T>(&self, version: u64, work: impl FnOnce(&mut Leader) -> T) -> Option<T> {
@@ -516,6 +540,9 @@
         if changes.contains(&Change::Lead) {
             self.lead_changed.notify_one();
         }
+        if changes.contains(&Change::Stray) {
+            *lock(&self.stray_told) = Some(Instant::now());
+        }
         let picture = lock(&self.picture);
         if let Some(leader) = lock(&self.term).as_mut().and_then(|t| t.leader.as_mut()) {
             leader.on_changes(changes, &picture, Instant::now());
--- a/src/store.rs
+++ b/src/store.rs
@@ -7,6 +7,7 @@
 //! | `sw/lead` | the leader, attached to its lease | a candidate |
 //! | `sw/token` | the last fencing token, never leased | a candidate |
 //! | `sw/types` | the machine types last seen | the leader |
+//! | `sw/stray` | who turned reports away while it can't hear the leader | any node |
 //! | `sw/j/{job}` | the job as submitted, never changed | any node |
 //! | `sw/p/{job}/{page}` | placements and progress of some tasks | the leader |
 //! | `sw/e/{job}` | how the job ended, created once, kept for ever | leader (done), any node (cancelled) |
@@ -27,6 +28,7 @@
 pub const LEAD: &str = "sw/lead";
 pub const TOKEN: &str = "sw/token";
 pub const TYPES: &str = "sw/types";
+pub const STRAY: &str = "sw/stray";
 
 pub fn job_key(id: &str) -> String {
     format!("sw/j/{id}")
@@ -123,6 +125,7 @@
     Arrived(JobId),
     Ended(JobId),
     Lead,
+    Stray,
 }
 
 /// The replicated picture, as of `revision`.
@@ -195,6 +198,7 @@
                 }
                 None
             }
+            STRAY => Some(Change::Stray),
             TYPES => {
                 if self.types.as_ref().is_none_or(|(v, _)| *v < version) {
                     self.types = Some((version, Arc::new(read(key, &raw)?)));
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -247,6 +247,24 @@
     assert!(world.broken().is_empty(), "{:?}", world.broken());
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_lost_workers_and_peers_learns_of_it_from_the_store() {
+    let world = World::new(4).await;
+    let old = world.leader().expect("a leader");
+    let body = job("j-000015", json!({"Shape": "service", "Spokes": 4, "Gpus": 8.0}));
+    assert!(created(&world.node(0).submit(&body).await));
+    world.until("it runs", || world.starts() == 4).await;
+    seconds(12).await;
+    world.sever(old);
+    for machine in world.machines_of("j-000015") {
+        world.cut(&machine, &[old]);
+    }
+    world.until("another leads", || world.leader().is_some_and(|l| l != old)).await;
+    seconds(15).await;
+    assert_eq!(world.starts(), 4, "nothing was lost or restarted");
+    assert!(world.broken().is_empty(), "{:?}", world.broken());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_worker_that_another_node_answers_is_not_taken_for_dead() {
     // One node loses the store and the other controllers, but not the
