Of two successors the one that hears the workers leads

Who turned no reports away while others did now stands a quarter of a lease later. Machines that the records say were at work count as silent, too. Test: of_two_successors_the_one_that_hears_the_workers_leads fails without it.

--- a/src/election.rs
+++ b/src/election.rs
@@ -44,8 +44,11 @@
                 attempt(node, version, ttl).await;
             }
             Some(None) if hold_off.is_none_or(|until| until <= Instant::now()) => {
-                // Not all at the same instant: the first to ask wins.
-                tokio::time::sleep(node.jitter(ttl / 32)).await;
+                // Not all at the same instant: the first to ask wins. Who hears
+                // no workers while others do lets those go first, for it may
+                // have lost them as its predecessor did.
+                let behind = if node.hears_less() { ttl / 4 } else { Duration::ZERO };
+                tokio::time::sleep(behind + node.jitter(ttl / 32)).await;
                 if lock(&node.picture).lead.is_none() {
                     attempt(node, 0, ttl).await;
                 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -290,10 +290,12 @@
         }
     }
 
-    /// Whether most machines that were heard before fell silent at once: then
-    /// the fault is more likely on this side.
+    /// Whether most machines that were up before are silent at once: then the
+    /// fault is more likely on this side. A new leader counts those too that the
+    /// records say were at work.
     pub fn mostly_silent(&self, now: Instant, limit: Duration) -> bool {
-        let heard = self.machines.values().filter(|m| !m.unborn() && !m.deleting);
+        let up = |m: &&Machine| (!m.unborn() || !m.bound.is_empty()) && !m.deleting;
+        let heard = self.machines.values().filter(up);
         let (mut all, mut silent) = (0, 0);
         for machine in heard {
             all += 1;
--- a/src/node.rs
+++ b/src/node.rs
@@ -425,6 +425,11 @@
         lock(&self.stray).is_some_and(|at| at.elapsed() < self.settings.report() * 2)
     }
 
+    /// Whether workers report to another controller, but not to this one.
+    pub fn hears_less(&self) -> bool {
+        !self.strayed() && self.peers.any(self.settings.report() * 2, |hello| hello.strays)
+    }
+
     /// Tells a leader through the state service that workers live, if no
     /// greeting can: connections between the controllers may be refused while
     /// the leader loses its workers.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -265,6 +265,36 @@
     assert!(world.broken().is_empty(), "{:?}", world.broken());
 }
 
+#[tokio::test(start_paused = true)]
+async fn of_two_successors_the_one_that_hears_the_workers_leads() {
+    // A leader and one other lose the workers together. If the other followed,
+    // it would give way only after another lease.
+    let world = World::new(4).await;
+    let old = world.leader().expect("a leader");
+    let body = job("j-000016", json!({"Shape": "service", "Spokes": 4, "Gpus": 8.0}));
+    assert!(created(&world.node(0).submit(&body).await));
+    world.until("it runs", || world.starts() == 4).await;
+    seconds(12).await;
+    let machines = world.machines_of("j-000016");
+    for deaf in [(old + 1) % 3, (old + 2) % 3] {
+        let now = world.leader().expect("a leader");
+        if deaf == now {
+            continue;
+        }
+        for machine in &machines {
+            world.cut(machine, &[now, deaf]);
+        }
+        world.until("another leads", || world.leader().is_some_and(|l| l != now)).await;
+        assert_ne!(world.leader(), Some(deaf));
+        seconds(13).await;
+        for machine in &machines {
+            world.cut(machine, &[]);
+        }
+        seconds(13).await;
+    }
+    assert!(world.broken().is_empty(), "{:?}", world.broken());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_worker_that_another_node_answers_is_not_taken_for_dead() {
     // One node loses the store and the other controllers, but not the
