--- /dev/null
+++ b/src/controller/committing.rs
@@ -0,0 +1,221 @@
+//! What is written, in which order, and what a write's outcome means.
+
+use tokio::time::Instant;
+use tracing::info;
+
+use super::Leader;
+use crate::{
+    protocol::{Condition, JobId, JobState, Write},
+    state::IN_FLIGHT,
+    store::{self, End, Page, Picture},
+};
+
+/// One write for the committer.
+#[derive(Debug)]
+pub struct Commit {
+    pub conditions: Vec<Condition>,
+    pub writes: Vec<Write>,
+    pub kind: CommitKind,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum CommitKind {
+    Page {
+        job: JobId,
+        page: u32,
+        content: Page,
+    },
+    /// The job's end, or the dropping of an ended job's records.
+    End {
+        job: JobId,
+    },
+    Types,
+}
+
+impl Leader {
+    /// Writes that are due, as many as may be under way at once: after a loss
+    /// of hundreds of tasks the budget decides who comes back first, so ends go
+    /// first, then pages with new places by priority and arrival, then the
+    /// rest. A page leaves only once at a time, so what it says of a task is
+    /// never overtaken by an older version.
+    pub fn take_commits(&mut self, picture: &Picture) -> Vec<Commit> {
+        let mut commits = Vec::new();
+        let lead = Condition { key: store::LEAD.into(), version: self.lead_version };
+        for id in std::mem::take(&mut self.ending) {
+            if let Some(commit) = self.end_commit(&id, &lead, picture) {
+                commits.push(commit);
+            }
+        }
+        if !self.types_stored && !self.types.is_empty() {
+            self.types_stored = true;
+            let version = picture.types.as_ref().map_or(0, |(v, _)| *v);
+            if let Ok(value) = store::value(&*self.types) {
+                let key = store::TYPES.to_owned();
+                commits.push(Commit {
+                    conditions: vec![lead.clone(), Condition { key: key.clone(), version }],
+                    writes: vec![Write::Put { key, value, lease: None }],
+                    kind: CommitKind::Types,
+                });
+            }
+        }
+        for key in self.due_pages() {
+            commits.extend(self.page_commit(key, &lead, picture));
+        }
+        commits
+    }
+
+    fn writes_under_way(&self) -> usize {
+        self.settings.cluster.state.txn_ops * IN_FLIGHT
+    }
+
+    /// The pages that should be written next.
+    fn due_pages(&self) -> Vec<(JobId, u32)> {
+        let room = self.writes_under_way().saturating_sub(self.inflight.len());
+        if room == 0 {
+            return Vec::new();
+        }
+        let size = self.settings.page_tasks();
+        let mut due: Vec<_> = self
+            .dirty
+            .iter()
+            .filter(|key| !self.inflight.contains(*key))
+            .map(|key| {
+                let job = self.jobs.get(&key.0);
+                let places = job.is_some_and(|j| j.awaits_record(key.1, size));
+                let rank = job.map(|j| (std::cmp::Reverse(j.spec.priority), j.arrival));
+                (!places, rank, key)
+            })
+            .collect();
+        due.sort();
+        due.truncate(room);
+        due.into_iter().map(|(.., key)| key.clone()).collect()
+    }
+
+    fn page_commit(
+        &mut self,
+        key: (JobId, u32),
+        lead: &Condition,
+        picture: &Picture,
+    ) -> Option<Commit> {
+        self.dirty.remove(&key);
+        let job = self.jobs.get_mut(&key.0)?;
+        // An ended job's pages only matter while tasks are bound.
+        if (job.ended.is_some() && job.bound.is_empty()) || job.remaining() == 0 {
+            return None;
+        }
+        let content = job.page(key.1, self.settings.page_tasks());
+        let value = store::value(&content).ok()?;
+        job.pages.insert(key.1);
+        let page = store::page_key(&key.0, key.1);
+        let version =
+            picture.pages.get(&key.0).and_then(|p| p.get(&key.1)).map_or(0, |p| p.version);
+        self.inflight.insert(key.clone());
+        Some(Commit {
+            conditions: vec![lead.clone(), Condition { key: page.clone(), version }],
+            writes: vec![Write::Put { key: page, value, lease: None }],
+            kind: CommitKind::Page { job: key.0, page: key.1, content },
+        })
+    }
+
+    /// Creates the end record of a job whose tasks are all done, and drops
+    /// the bulky records of one that has ended and left every machine.
+    fn end_commit(&mut self, id: &JobId, lead: &Condition, picture: &Picture) -> Option<Commit> {
+        let job = self.jobs.get_mut(id)?;
+        let finished = job.remaining() == 0;
+        if job.ending || !job.bound.is_empty() || !(finished || job.ended.is_some()) {
+            return None;
+        }
+        if self.inflight.range((id.clone(), 0)..=(id.clone(), u32::MAX)).next().is_some() {
+            // Asked again when that write is through.
+            return None;
+        }
+        job.ending = true;
+        let mut conditions = vec![lead.clone()];
+        let mut writes = Vec::new();
+        if job.ended.is_none() {
+            let key = store::end_key(id);
+            let end = End { state: JobState::Done, done: job.spec.tasks };
+            conditions.push(Condition { key: key.clone(), version: 0 });
+            writes.push(Write::Put { key, value: store::value(&end).ok()?, lease: None });
+        }
+        let limit = self.settings.cluster.state.txn_ops;
+        let pages = picture.pages.get(id);
+        for page in pages.into_iter().flat_map(|p| p.keys()) {
+            if writes.len() + 1 >= limit {
+                break;
+            }
+            writes.push(Write::Delete { key: store::page_key(id, *page) });
+        }
+        if pages.map_or(0, |p| p.len()) <= writes.len() {
+            writes.push(Write::Delete { key: store::job_key(id) });
+        }
+        Some(Commit { conditions, writes, kind: CommitKind::End { job: id.clone() } })
+    }
+
+    /// A write is durable. The picture has it already.
+    pub fn committed(&mut self, kind: &CommitKind, picture: &Picture, now: Instant) {
+        match kind {
+            CommitKind::Page { job: id, page, content } => {
+                self.inflight.remove(&(id.clone(), *page));
+                let Some(job) = self.jobs.get_mut(id) else { return };
+                for (task, attempt, ..) in &content.bound {
+                    if let Some(binding) = job.bound.get_mut(task)
+                        && binding.attempt == *attempt
+                    {
+                        binding.durable = true;
+                        if !binding.seen {
+                            self.prompt.insert(binding.machine.clone());
+                        }
+                    }
+                }
+                if job.ended.is_some() || job.remaining() == 0 {
+                    self.ending.insert(id.clone());
+                }
+            }
+            CommitKind::End { job: id } => {
+                let Some(job) = self.jobs.get_mut(id) else { return };
+                job.ending = false;
+                if picture.ends.contains_key(id) {
+                    job.ended.get_or_insert(now);
+                }
+                if picture.jobs.contains_key(id) {
+                    // More pages than one transaction drops.
+                    self.ending.insert(id.clone());
+                } else {
+                    let arrival = job.arrival;
+                    info!(job = %id, "ended");
+                    self.jobs.remove(id);
+                    self.order.remove(&(arrival, id.clone()));
+                }
+            }
+            CommitKind::Types => {}
+        }
+    }
+
+    /// A write did not happen, as far as the fresh picture tells: again.
+    pub fn not_committed(&mut self, kind: CommitKind, picture: &Picture, now: Instant) {
+        match kind {
+            CommitKind::Page { job, page, .. } => {
+                self.inflight.remove(&(job.clone(), page));
+                // If the job is over by now, its end replaces the page.
+                self.ending.insert(job.clone());
+                self.dirty.insert((job, page));
+            }
+            CommitKind::End { job: id } => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.ending = false;
+                    // Cancelled in the meantime: the first end wins.
+                    if picture.ends.contains_key(&id) {
+                        job.ended.get_or_insert(now);
+                    }
+                    self.ending.insert(id);
+                }
+            }
+            CommitKind::Types => self.types_stored = false,
+        }
+    }
+
+    pub fn has_writes(&self) -> bool {
+        !self.dirty.is_empty() || !self.ending.is_empty() || !self.types_stored
+    }
+}
--- /dev/null
+++ b/src/controller/mod.rs
@@ -0,0 +1,507 @@
+//! The leader's duty: a state machine that takes reports, changes of the
+//! records and answers of the cloud, and gives orders, writes and rentals.
+//!
+//! It does no I/O. What it decides becomes real in this order: the page
+//! record with a binding is committed first, and only then does the order to
+//! start leave; an exit is committed first, and only then is it cleared from
+//! the worker.
+//!
+//! `reports` reviews what workers say, `deciding` makes passes, `committing`
+//! writes, `renting` rents and returns; here is what they share, and the time.
+
+mod committing;
+mod deciding;
+mod renting;
+mod reports;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
+    sync::Arc,
+};
+
+use tokio::time::{Duration, Instant};
+use tracing::{info, warn};
+
+pub use committing::{Commit, CommitKind};
+
+use crate::{
+    fleet::{Fleet, Machine, TaskKey},
+    protocol::{JobId, JobSpec, MachineId, MachineType, Rental, Shape},
+    scheduler::TeamUse,
+    settings::Settings,
+    store::{Change, Page, Picture},
+};
+
+/// A pass may take up to one in so many parts of the time: the rest is for
+/// reports, answers and the renewal of the lease.
+const PASS_PARTS: u32 = 8;
+
+/// What the duty has cost so far, in operations rather than seconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Effort {
+    pub reports: u64,
+    /// Bound or reported tasks looked at for them.
+    pub reviewed: u64,
+    /// Looks over all machines and jobs for what time alone brings.
+    pub rounds_of_care: u64,
+    pub passes: u64,
+    /// Places weighed in them.
+    pub weighed: u64,
+}
+
+/// A task on its machine, until proof that it is gone.
+#[derive(Clone, Debug)]
+struct Binding {
+    machine: MachineId,
+    attempt: u64,
+    session: u64,
+    zone: u8,
+    /// The record that binds it is committed.
+    durable: bool,
+    /// Answers that carried its start order and were not followed by it.
+    sent: u32,
+    /// A report showed it on the machine.
+    seen: bool,
+    running_since: Option<Instant>,
+    stop: Option<Stop>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Stop {
+    since: Instant,
+    grace_s: f64,
+}
+
+struct Job {
+    spec: Arc<JobSpec>,
+    arrival: u64,
+    /// When this leader came to know it.
+    known_since: Instant,
+    ended: Option<Instant>,
+    bound: BTreeMap<u32, Binding>,
+    done: HashSet<u32>,
+    /// No task below this one is pending, apart from `returned`.
+    next: u32,
+    /// Tasks that came back from a machine undone.
+    returned: BTreeSet<u32>,
+    attempt: u64,
+    width: u32,
+    /// Failures in a row, and the wait they earned the job.
+    failures: u32,
+    held_until: Option<Instant>,
+    avoid: Vec<MachineId>,
+    pages: BTreeSet<u32>,
+    ending: bool,
+}
+
+impl Job {
+    fn new(spec: Arc<JobSpec>, arrival: u64, now: Instant) -> Self {
+        Self {
+            spec,
+            arrival,
+            known_since: now,
+            ended: None,
+            bound: BTreeMap::new(),
+            done: HashSet::new(),
+            next: 0,
+            returned: BTreeSet::new(),
+            attempt: 0,
+            width: 0,
+            failures: 0,
+            held_until: None,
+            avoid: Vec::new(),
+            pages: BTreeSet::new(),
+            ending: false,
+        }
+    }
+
+    fn remaining(&self) -> u32 {
+        self.spec.tasks - self.done.len() as u32
+    }
+
+    /// The lowest tasks that could start, up to `limit`.
+    fn pending(&self, limit: usize) -> Vec<u32> {
+        // A returned task may lie beyond `next`, and named twice it would be
+        // placed twice.
+        let fresh = (self.next..self.spec.tasks).filter(|t| {
+            !self.done.contains(t) && !self.bound.contains_key(t) && !self.returned.contains(t)
+        });
+        self.returned.iter().copied().chain(fresh).take(limit).collect()
+    }
+
+    /// Whether a page holds places whose start waits for its record.
+    fn awaits_record(&self, page: u32, size: u32) -> bool {
+        let range = page * size..(page + 1).saturating_mul(size);
+        self.bound.range(range).any(|(_, b)| !b.durable)
+    }
+
+    fn page(&self, page: u32, size: u32) -> Page {
+        let range = page * size..(page + 1).saturating_mul(size).min(self.spec.tasks);
+        let bound = self
+            .bound
+            .range(range.clone())
+            .map(|(t, b)| (*t, b.attempt, b.machine.clone(), b.session, b.zone))
+            .collect();
+        let mut done: Vec<(u32, u32)> = Vec::new();
+        for task in range.filter(|t| self.done.contains(t)) {
+            match done.last_mut() {
+                Some((first, n)) if *first + *n == task => *n += 1,
+                _ => done.push((task, 1)),
+            }
+        }
+        let width = (page == 0 && self.width > 0).then_some(self.width);
+        Page { attempt: self.attempt, width, bound, done }
+    }
+
+    fn grace_s(&self) -> f64 {
+        // A little above what the job needs: the order takes its time.
+        if self.spec.checkpoint_s > 0.0 { self.spec.save_s * 1.5 } else { 0.0 }
+    }
+}
+
+/// The report shows a higher token: someone else leads.
+#[derive(Debug, PartialEq)]
+pub struct Deposed;
+
+pub struct Leader {
+    settings: Arc<Settings>,
+    pub token: u64,
+    pub lead_version: u64,
+    types: Arc<Vec<MachineType>>,
+    types_stored: bool,
+    jobs: HashMap<JobId, Job>,
+    order: BTreeMap<(u64, JobId), ()>,
+    fleet: Fleet,
+    usage: HashMap<Arc<str>, TeamUse>,
+    dirty: BTreeSet<(JobId, u32)>,
+    inflight: BTreeSet<(JobId, u32)>,
+    ending: BTreeSet<JobId>,
+    /// Kinds the cloud refused: not asked again before then.
+    refused: HashMap<(usize, u8, bool), Instant>,
+    rentals: Vec<Rental>,
+    renting: Vec<Rental>,
+    /// The load of work that may use spot machines, over the last boot time.
+    spot_loads: VecDeque<(Instant, f64)>,
+    /// Machines with orders that should not wait for the next report.
+    prompt: BTreeSet<MachineId>,
+    deletions: Vec<MachineId>,
+    rental_count: u64,
+    next_round: Instant,
+    next_care: Instant,
+    next_pass: Instant,
+    pub effort: Effort,
+    round_due: bool,
+    changed: bool,
+    started: Instant,
+    /// Since when the state service has answered without a break.
+    unpaused: Option<Instant>,
+}
+
+impl Leader {
+    /// Rebuilds the duty from the records. The picture must be as new as the
+    /// leadership itself, so that no former leader's write is missing.
+    pub fn new(
+        settings: Arc<Settings>,
+        lead_version: u64,
+        token: u64,
+        picture: &Picture,
+        now: Instant,
+    ) -> Self {
+        let mut leader = Self {
+            settings,
+            token,
+            lead_version,
+            types: Arc::default(),
+            types_stored: true,
+            jobs: HashMap::new(),
+            order: BTreeMap::new(),
+            fleet: Fleet::default(),
+            usage: HashMap::new(),
+            dirty: BTreeSet::new(),
+            inflight: BTreeSet::new(),
+            ending: BTreeSet::new(),
+            refused: HashMap::new(),
+            rentals: Vec::new(),
+            renting: Vec::new(),
+            spot_loads: VecDeque::new(),
+            prompt: BTreeSet::new(),
+            deletions: Vec::new(),
+            rental_count: 0,
+            next_round: now,
+            next_care: now,
+            next_pass: now,
+            effort: Effort::default(),
+            round_due: true,
+            changed: true,
+            started: now,
+            unpaused: None,
+        };
+        if let Some((_, types)) = &picture.types {
+            leader.types = types.clone();
+        }
+        for id in picture.jobs.keys() {
+            leader.add_job(id, picture, now);
+        }
+        leader
+    }
+
+    fn add_job(&mut self, id: &JobId, picture: &Picture, now: Instant) {
+        let Some(entry) = picture.jobs.get(id) else { return };
+        if self.jobs.contains_key(id) {
+            return;
+        }
+        let mut job = Job::new(entry.spec.clone(), entry.version, now);
+        job.ended = picture.ends.contains_key(id).then_some(now);
+        for (number, entry) in picture.pages.get(id).into_iter().flatten() {
+            let page: Page = match serde_json::from_str(entry.raw.get()) {
+                Ok(page) => page,
+                Err(e) => {
+                    warn!(job = %id, page = number, error = %e, "a page can't be read");
+                    continue;
+                }
+            };
+            job.pages.insert(*number);
+            job.attempt = job.attempt.max(page.attempt);
+            job.width = job.width.max(page.width.unwrap_or(0));
+            for (first, n) in page.done {
+                job.done.extend(first..first.saturating_add(n).min(job.spec.tasks));
+            }
+            for (task, attempt, machine, session, zone) in page.bound {
+                let known = self.fleet.machines.entry(machine.clone()).or_insert_with(|| {
+                    let zone = self.settings.cluster.zones.get(usize::from(zone)).cloned();
+                    // The type is learned from the list or the first report.
+                    Machine::new(Arc::from(""), zone.unwrap_or_default(), false, now)
+                });
+                known.bound.insert((id.clone(), task));
+                // What a former leader fetched there is known by what runs.
+                known.note_image(&job.spec.image, job.spec.image_gb, f64::INFINITY, &[]);
+                let binding = Binding {
+                    machine,
+                    attempt,
+                    session,
+                    zone,
+                    durable: true,
+                    sent: 0,
+                    seen: false,
+                    running_since: None,
+                    stop: None,
+                };
+                job.bound.insert(task, binding);
+                use_team(&mut self.usage, &job.spec, 1.0);
+            }
+        }
+        if job.ended.is_some() || job.remaining() == 0 {
+            self.ending.insert(id.clone());
+        }
+        self.order.insert((job.arrival, id.clone()), ());
+        self.jobs.insert(id.clone(), job);
+        self.changed = true;
+        self.round_due = true;
+    }
+
+    /// Takes in what the watch brought.
+    pub fn on_changes(&mut self, changes: &[Change], picture: &Picture, now: Instant) {
+        for change in changes {
+            match change {
+                Change::Arrived(id) => self.add_job(id, picture, now),
+                Change::Ended(id) => {
+                    if let Some(job) = self.jobs.get_mut(id) {
+                        job.ended.get_or_insert(now);
+                        self.prompt.extend(job.bound.values().map(|b| b.machine.clone()));
+                        self.ending.insert(id.clone());
+                        self.changed = true;
+                        self.round_due = true;
+                    }
+                }
+                Change::Lead | Change::Stray => {}
+            }
+        }
+    }
+
+    pub fn on_types(&mut self, types: Vec<MachineType>) {
+        // Prices move all the time; they are no reason to write.
+        let shape = |types: &[MachineType]| -> Vec<MachineType> {
+            let plain = |t: &MachineType| MachineType { price: 0.0, spot_price: 0.0, ..t.clone() };
+            types.iter().map(plain).collect()
+        };
+        if types.is_empty() {
+            return;
+        }
+        self.types_stored &= shape(&types) == shape(&self.types);
+        self.types = Arc::new(types);
+        self.changed = true;
+    }
+
+    /// Called whenever something happened, and several times per report
+    /// interval. What needs a look over all machines or jobs is done a few
+    /// times per report interval only, since reports come far more often.
+    /// `alone`: since when surely no other controller has answered workers.
+    pub fn tick(&mut self, now: Instant, paused: bool, alone: Option<Instant>) {
+        let care = now >= self.next_care;
+        if care {
+            self.effort.rounds_of_care += 1;
+            self.next_care = now + self.settings.report() / 8;
+            self.expire_sessions(now, alone);
+            self.drain(now);
+        }
+        // Without the state service nothing new can be made durable, and an
+        // old picture is no ground for returning machines.
+        if paused {
+            self.unpaused = None;
+            return;
+        }
+        // Whether the proof by lease can be had. After an outage the others'
+        // promises need their time first, which is no ground for anything.
+        let lease = self.settings.worker_lease();
+        let unpaused = *self.unpaused.get_or_insert(now);
+        if care {
+            self.stop_ended(now);
+            let provable =
+                alone.is_some_and(|since| now > since + lease) || now < unpaused + lease * 2;
+            self.return_machines(now, provable);
+            for job in self.jobs.values_mut().filter(|j| j.held_until.is_some_and(|t| t <= now)) {
+                job.held_until = None;
+                self.changed = true;
+            }
+        }
+        if now < self.next_pass {
+            return;
+        }
+        // While a job waits, each round looks again: a boot may be overdue by
+        // then, or the cloud have room again.
+        let waiting = |j: &Job| j.ended.is_none() && j.bound.is_empty();
+        let round = now >= self.next_round && (self.round_due || self.jobs.values().any(waiting));
+        if self.changed || round {
+            self.changed = false;
+            self.schedule(round, now);
+        }
+    }
+
+    /// How long the last tick took: the next pass keeps its distance, so that
+    /// passes never crowd out reports, however large the fleet.
+    pub fn took(&mut self, now: Instant, took: Duration) {
+        self.next_pass = now + took * PASS_PARTS;
+    }
+
+    /// Sessions that ended by themselves, with proof of it.
+    fn expire_sessions(&mut self, now: Instant, alone: Option<Instant>) {
+        let lease = self.settings.worker_lease();
+        // A machine that this leader never heard has the sessions that the
+        // records name.
+        let recorded = |key: &TaskKey| Some(self.jobs.get(&key.0)?.bound.get(&key.1)?.session);
+        let over: Vec<(MachineId, u64)> = self
+            .fleet
+            .machines
+            .iter()
+            .filter(|(_, m)| m.lease_over(now, lease, alone))
+            .filter_map(|(id, m)| {
+                let recorded = m.bound.iter().filter_map(recorded).max();
+                let session = m.seen.0.max(recorded.unwrap_or(0));
+                (session > m.dead_session).then(|| (id.clone(), session))
+            })
+            .collect();
+        for (id, session) in over {
+            info!(machine = %id, session, "silent past its lease: its tasks are gone");
+            if let Some(machine) = self.fleet.machines.get_mut(&id) {
+                machine.dead_session = session;
+            }
+            self.lose_sessions(&id, session + 1, now);
+        }
+    }
+
+    /// Stops tasks on machines that will be taken back, in time to save.
+    fn drain(&mut self, now: Instant) {
+        let report = self.settings.report();
+        let mut stops = Vec::new();
+        for machine in self.fleet.machines.values() {
+            let Some(until) = machine.notice_until else { continue };
+            for key in &machine.bound {
+                let Some(job) = self.jobs.get(&key.0) else { continue };
+                let needed = Duration::from_secs_f64(job.grace_s()) + report * 4;
+                // A notice may run half as long as it says.
+                if job.spec.checkpoint_s <= 0.0
+                    || (until.saturating_duration_since(now)) / 2 < needed
+                {
+                    stops.push(key.clone());
+                }
+            }
+        }
+        for key in stops {
+            self.stop(&key, false, now);
+        }
+    }
+
+    /// Decides to stop a task; of a gang, all tasks.
+    fn stop(&mut self, key: &TaskKey, at_once: bool, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&key.0) else { return };
+        let grace_s = if at_once { 0.0 } else { job.grace_s() };
+        let stop = Stop { since: now, grace_s };
+        let gang = job.spec.shape == Shape::Gang;
+        for (task, binding) in &mut job.bound {
+            if (gang || *task == key.1) && binding.stop.is_none() {
+                binding.stop = Some(stop);
+                self.prompt.insert(binding.machine.clone());
+            }
+        }
+    }
+
+    /// A cancelled job's tasks must be gone in time, even from a machine that
+    /// can't be reached: then the machine itself goes.
+    fn stop_ended(&mut self, now: Instant) {
+        let limit = Duration::from_secs_f64(self.settings.cluster.workers.cancel_s / 2.0);
+        let mut late = Vec::new();
+        for job in self.jobs.values() {
+            if job.ended.is_some_and(|at| now > at + limit) {
+                late.extend(job.bound.values().map(|b| b.machine.clone()));
+            }
+        }
+        for id in late {
+            self.delete(&id, "a cancelled task can't be stopped", now);
+        }
+    }
+
+    /// One line for the operator.
+    pub fn summary(&self, now: Instant) -> String {
+        let report = self.settings.report();
+        let (mut ready, mut idle, mut booting) = (0, 0, 0);
+        // GPUs in use and held, on spot machines [0] and ordinary ones [1];
+        // and what work that may use spot machines has of the latter.
+        let (mut used, mut held, mut misplaced) = ([0.0; 2], [0.0; 2], 0.0);
+        for machine in self.fleet.machines.values() {
+            if !machine.heard() {
+                booting += 1;
+                continue;
+            }
+            ready += u32::from(machine.ready(now, report));
+            idle += u32::from(machine.bound.is_empty());
+            let at = usize::from(!machine.spot);
+            held[at] +=
+                self.types.iter().find(|t| t.name == machine.machine_type).map_or(0.0, |t| t.gpus);
+            for spec in machine.bound.iter().filter_map(|(job, _)| Some(&self.jobs.get(job)?.spec))
+            {
+                used[at] += spec.gpus;
+                if spec.spot && !machine.spot {
+                    misplaced += spec.gpus;
+                }
+            }
+        }
+        let waiting =
+            self.jobs.values().filter(|j| j.bound.is_empty() && j.ended.is_none()).count();
+        format!(
+            "jobs {} (waiting {waiting}), GPUs {} of {} ordinary ({misplaced} by work for spot) and {} of {} spot, machines {} (booting {booting}, ready {ready}, idle {idle}), {:?}",
+            self.jobs.len(),
+            used[1],
+            held[1],
+            used[0],
+            held[0],
+            self.fleet.machines.len(),
+            self.effort
+        )
+    }
+}
+
+fn use_team(usage: &mut HashMap<Arc<str>, TeamUse>, spec: &JobSpec, sign: f64) {
+    let team = usage.entry(spec.team.clone()).or_default();
+    team.cpus += sign * spec.cpus;
+    team.gpus += sign * spec.gpus;
+}
