--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -190,6 +190,7 @@
     next_care: Instant,
     next_pass: Instant,
     pub effort: Effort,
+    outnumbered: bool,
     round_due: bool,
     changed: bool,
     started: Instant,
@@ -231,6 +232,7 @@
             next_care: now,
             next_pass: now,
             effort: Effort::default(),
+            outnumbered: false,
             round_due: true,
             changed: true,
             started: now,
@@ -460,6 +462,13 @@
         }
     }
 
+    /// Whether there are more machines than connections to hear them by. Told
+    /// once a term.
+    pub fn outnumbered(&mut self) -> bool {
+        let more = self.fleet.machines.len() > self.settings.public_sockets();
+        more && !std::mem::replace(&mut self.outnumbered, true)
+    }
+
     /// One line for the operator.
     pub fn summary(&self, now: Instant) -> String {
         let report = self.settings.report();
--- a/src/node.rs
+++ b/src/node.rs
@@ -729,6 +729,9 @@
                 if told + report * 10 < now {
                     told = now;
                     info!("{}", leader.summary(now));
+                    if leader.outnumbered() {
+                        warn!("cluster.quota.fd_limit: more machines than sockets for them");
+                    }
                 }
                 let commits =
                     if leader.has_writes() { leader.take_commits(&picture) } else { Vec::new() };
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -6,7 +6,13 @@
 //! a leader know that nobody else answers workers (`caretaking.rs`),
 //! and a leader that hears no worker learn that workers live.
 
-use std::{collections::HashMap, sync::Arc, sync::Mutex};
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -41,6 +47,8 @@
 pub struct Peers {
     heard: Mutex<HashMap<String, (Hello, Instant)>>,
     pub promises: Mutex<Promises>,
+    /// An unreadable greeting was logged: whoever sends them sends many.
+    garbled: AtomicBool,
 }
 
 impl Peers {
@@ -48,7 +56,11 @@
         let members = settings.members.iter().map(|m| m.member.clone()).collect();
         let promise = settings.caretaking_promise();
         let promises = Promises::new(members, nonce, promise, Instant::now());
-        Self { heard: Mutex::default(), promises: Mutex::new(promises) }
+        Self {
+            heard: Mutex::default(),
+            promises: Mutex::new(promises),
+            garbled: AtomicBool::new(false),
+        }
     }
 
     pub fn note(&self, hello: Hello) {
@@ -87,7 +99,9 @@
         match bitcode::decode::<Hello>(&frame) {
             Ok(hello) => node.on_hello(hello),
             Err(e) => {
-                warn!(error = %e, "a greeting can't be read");
+                if !node.peers.garbled.swap(true, Ordering::Relaxed) {
+                    warn!(error = %e, "a greeting can't be read; further ones are not told");
+                }
                 return;
             }
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -293,6 +293,20 @@
                 self.cluster.size
             ));
         }
+        // A list page, the types and a deletion, now and then, and rentals.
+        if self.cluster.cloud.rps < 1.0 {
+            found.push(format!(
+                "cluster.cloud.rps: with {} calls a second machines are rented late",
+                self.cluster.cloud.rps
+            ));
+        }
+        let (own, all) = (self.public_sockets(), self.cluster.quota.fd_limit as usize);
+        if own * 2 < all {
+            found.push(format!(
+                "cluster.quota.fd_limit: of {all} sockets {own} are left for users and workers, \
+                 and each machine takes one of its leader"
+            ));
+        }
         if self.members.len() + 1 != self.cluster.size as usize {
             found.push(format!(
                 "members: {} others are listed for {} controllers",
@@ -478,6 +492,8 @@
         let many = warn("size = 1", "size = 90");
         assert!(many.contains("cluster.state.rps") && many.contains("members"), "{many}");
         assert!(warn("zone = \"a\"", "zone = \"z\"").starts_with("zone"));
+        assert!(warn("\nrps = 8.0", "\nrps = 0.5").starts_with("cluster.cloud.rps"));
+        assert!(warn("fd_limit = 600", "fd_limit = 64").starts_with("cluster.quota.fd_limit"));
     }
 
     #[test]
