A machine is not returned as idle before it could take tasks

Now at least three report intervals. Test: a_machine_that_boots_fast_is_not_returned_before_it_takes_tasks fails without it.

--- a/src/controller/renting.rs
+++ b/src/controller/renting.rs
@@ -20,6 +20,9 @@
         }
         self.note_spot_load(now);
         let (spare, spare_spot) = (self.spare_machines(), self.spare_spot());
+        // A machine takes tasks only from its second report on: where boots
+        // are short it must not go before it could be of use.
+        let least = self.settings.report() * 3;
         let mut idle: Vec<(bool, Instant, MachineId)> = self
             .fleet
             .machines
@@ -28,7 +31,8 @@
             .filter_map(|(id, m)| {
                 let since = m.idle_since?;
                 let wait = boot(&m.machine_type) * self.settings.operator.idle_boots;
-                (now > since + Duration::from_secs_f64(wait)).then(|| (!m.spot, since, id.clone()))
+                let wait = Duration::from_secs_f64(wait).max(least);
+                (now > since + wait).then(|| (!m.spot, since, id.clone()))
             })
             .collect();
         idle.sort();
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use stonewheel::{
     controller::{Commit, CommitKind, Leader},
-    protocol::{Cause, JobSpec, Op, Order, Report, TaskReport, TaskState, Write},
+    protocol::{Cause, JobSpec, MachineType, Op, Order, Report, TaskReport, TaskState, Write},
     settings::Objective,
     store::{self, Change, Page, Picture},
 };
@@ -826,3 +826,46 @@
     duty.pass(5.0);
     assert!(duty.leader.take_rentals().is_empty());
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_machine_that_boots_fast_is_not_returned_before_it_takes_tasks() {
+    // A quarter of a short boot was less than the time between two reports:
+    // machines were returned and rented again and nothing ever ran.
+    let mut duty = Duty::new(5);
+    let quick = MachineType { boot_s: 1.0, ..machine_type() };
+    duty.picture.types = Some((1, Arc::new(vec![quick])));
+    duty.leader = Leader::new(Arc::new(settings("m-0")), 1, 5, &duty.picture, duty.now);
+    let report = |duty: &mut Duty, seq: u64, token: u64| {
+        let report = Report {
+            machine: "n-1".into(),
+            addr: "n-1".into(),
+            machine_type: "g8".into(),
+            zone: "a".into(),
+            spot: false,
+            session: 1,
+            seq,
+            token,
+            notice_s: None,
+            tasks: Vec::new(),
+        };
+        duty.leader.on_report(&report, duty.now).expect("no higher token")
+    };
+    report(&mut duty, 1, 0);
+    duty.submit("j-000001", json!({"Spokes": 1}));
+    for _ in 0..12 {
+        duty.pass(0.1);
+        assert!(duty.leader.take_deletions().is_empty());
+    }
+    report(&mut duty, 2, 5);
+    duty.settle();
+    assert_eq!(duty.bound("j-000001"), [(0, "n-1".to_owned())]);
+    // Left without work it goes all the same.
+    duty.cancel("j-000001");
+    report(&mut duty, 3, 5);
+    duty.settle();
+    for second in 0..5 {
+        report(&mut duty, 4 + second, 5);
+        duty.pass(1.0);
+    }
+    assert_eq!(duty.leader.take_deletions().len(), 1);
+}
