--- a/src/caretaking.rs
+++ b/src/caretaking.rs
@@ -7,12 +7,12 @@
 //!
 //! Such answers would void a leader's proof that a silent worker's tasks are
 //! gone (`fleet.rs`). What keeps both apart are promises: a controller that
-//! hears a leader's greeting answers no report for a while, and says in its
-//! own next greeting which one it heard. A leader uses the proof only while
+//! hears a leader's heartbeat answers no report for a while, and says in its
+//! own next heartbeat which one it heard. A leader uses the proof only while
 //! promises of all others have covered the whole time that the proof counts.
-//! Greetings may come late or not at all: the leader counts a promise from
+//! Heartbeats may come late or not at all: the leader counts a promise from
 //! when it *sent* what was heard, and without promises it has no proof. Whoever
-//! echoes a greeting of this term also leads no more, since a greeting carries
+//! echoes a heartbeat of this term also leads no more, since a heartbeat carries
 //! the token that deposes it. So promises of all others prove even for workers
 //! that this leader never heard: the last report that anybody answered was sent
 //! before the promises began.
@@ -27,19 +27,19 @@
 /// Steady clocks drift apart by far less than this share.
 const DRIFT: f64 = 0.99;
 
-/// A greeting by which a process can be told from its former self.
+/// A heartbeat by which a process can be told from its former self.
 pub type Mark = (u64, u64);
 
 pub struct Promises {
     members: Vec<String>,
     /// Drawn at each start.
-    nonce: u64,
-    /// How long a heard greeting of a leader binds this controller.
+    incarnation: u64,
+    /// How long a heard heartbeat of a leader binds this controller.
     promise: Duration,
     /// This process may not know what its former self promised, so its start
-    /// counts like a greeting.
+    /// counts like a heartbeat.
     bound_since: Instant,
-    /// The latest greeting as a leader, by member.
+    /// The latest heartbeat as a leader, by member.
     heard: HashMap<String, Mark>,
     count: u64,
     sent: VecDeque<(u64, Instant)>,
@@ -48,10 +48,10 @@
 }
 
 impl Promises {
-    pub fn new(members: Vec<String>, nonce: u64, promise: Duration, now: Instant) -> Self {
+    pub fn new(members: Vec<String>, incarnation: u64, promise: Duration, now: Instant) -> Self {
         Self {
             members,
-            nonce,
+            incarnation,
             promise,
             bound_since: now,
             heard: HashMap::new(),
@@ -62,25 +62,25 @@
     }
 
     /// A term as leader begins: only what is promised from now on counts. An
-    /// echo of an earlier term's greeting says nothing of whoever led between.
+    /// echo of an earlier term's heartbeat says nothing of whoever led between.
     pub fn begin_term(&mut self) {
         self.sent.clear();
         self.covered.clear();
     }
 
-    /// The mark of the next greeting to a member, and what was last heard
+    /// The mark of the next heartbeat to a member, and what was last heard
     /// from that member as a leader.
-    pub fn greet(&mut self, to: &str, now: Instant) -> (Mark, Option<Mark>) {
+    pub fn beat(&mut self, to: &str, now: Instant) -> (Mark, Option<Mark>) {
         self.count += 1;
         self.sent.push_back((self.count, now));
         while self.sent.front().is_some_and(|(_, at)| now > *at + self.promise) {
             self.sent.pop_front();
         }
-        ((self.nonce, self.count), self.heard.get(to).copied())
+        ((self.incarnation, self.count), self.heard.get(to).copied())
     }
 
-    /// Takes in a member's greeting.
-    pub fn greeted(
+    /// Takes in a member's heartbeat.
+    pub fn heard_from(
         &mut self,
         from: &str,
         mark: Mark,
@@ -92,7 +92,10 @@
             self.bound_since = now;
             self.heard.insert(from.to_owned(), mark);
         }
-        let Some((_, count)) = echo.filter(|(nonce, _)| *nonce == self.nonce) else { return };
+        let Some((_, count)) = echo.filter(|(incarnation, _)| *incarnation == self.incarnation)
+        else {
+            return;
+        };
         let Some((_, sent)) = self.sent.iter().find(|(c, _)| *c == count) else { return };
         let until = *sent + self.promise.mul_f64(DRIFT);
         let cover = self.covered.entry(from.to_owned()).or_insert((now, until));
@@ -137,12 +140,12 @@
         (leader, other, now)
     }
 
-    /// A greeting of the leader, heard at `at`, and the answer to it.
+    /// A heartbeat of the leader, heard at `at`, and the answer to it.
     fn exchange(leader: &mut Promises, other: &mut Promises, sent: Instant, at: Instant) {
-        let (mark, echo) = leader.greet("b", sent);
-        other.greeted("a", mark, true, echo, at);
-        let (mark, echo) = other.greet("a", at);
-        leader.greeted("b", mark, false, echo, at);
+        let (mark, echo) = leader.beat("b", sent);
+        other.heard_from("a", mark, true, echo, at);
+        let (mark, echo) = other.beat("a", at);
+        leader.heard_from("b", mark, false, echo, at);
     }
 
     #[test]
@@ -172,24 +175,24 @@
         assert!(leader.alone_since(at(2)).is_some());
         leader.begin_term();
         assert_eq!(leader.alone_since(at(2)), None);
-        let (mark, echo) = other.greet("a", at(2));
-        leader.greeted("b", mark, false, echo, at(2));
+        let (mark, echo) = other.beat("a", at(2));
+        leader.heard_from("b", mark, false, echo, at(2));
         assert_eq!(leader.alone_since(at(2)), None, "an echo of the earlier term");
         exchange(&mut leader, &mut other, at(3), at(3));
         assert_eq!(leader.alone_since(at(4)), Some(at(3)));
     }
 
     #[test]
-    fn a_late_greeting_promises_nothing_that_is_over() {
+    fn a_late_heartbeat_promises_nothing_that_is_over() {
         let (mut leader, mut other, now) = pair();
         let at = |s: u64| now + Duration::from_secs(s);
         exchange(&mut leader, &mut other, at(1), at(6));
         assert_eq!(leader.alone_since(at(6)), None);
         // Nor does an echo of what a former self of the leader sent.
-        let (mark, echo) = other.greet("a", at(6));
+        let (mark, echo) = other.beat("a", at(6));
         let mut successor = Promises::new(vec!["b".into()], 3, PROMISE, at(6));
-        successor.greet("b", at(6));
-        successor.greeted("b", mark, false, echo, at(6));
+        successor.beat("b", at(6));
+        successor.heard_from("b", mark, false, echo, at(6));
         assert_eq!(successor.alone_since(at(6)), None);
     }
 }
--- a/src/election.rs
+++ b/src/election.rs
@@ -71,7 +71,8 @@
         Err(_) => return tokio::time::sleep(ttl / 8).await,
     };
     let token = token + 1;
-    let lead = Lead { member: node.settings.member.clone(), nonce: node.nonce, token, lease };
+    let lead =
+        Lead { member: node.settings.member.clone(), incarnation: node.incarnation, token, lease };
     let (Ok(lead_value), Ok(token_value)) = (store::value(&lead), store::value(&token)) else {
         return;
     };
@@ -90,7 +91,7 @@
         Ok(revision) => node.note_writes(&txn.writes, revision),
         Err(error) => {
             // Lost, or unsure: the picture tells who leads. An unsure try of
-            // ours that succeeded shows up there under our nonce.
+            // ours that succeeded shows up there under our incarnation.
             if matches!(error, StateError::Refused(_)) {
                 tokio::time::sleep(ttl / 8).await;
             }
--- a/src/node.rs
+++ b/src/node.rs
@@ -26,7 +26,7 @@
     http, peers,
     peers::Peers,
     protocol::{
-        Condition, DirectOrders, Hello, JobSpec, JobState, JobStatus, MachineId, Order, Rental,
+        Condition, DirectOrders, Heartbeat, JobSpec, JobState, JobStatus, MachineId, Order, Rental,
         Report, Shape, Write, is_job_id,
     },
     scheduler::{TeamUse, placement, team_room},
@@ -83,7 +83,7 @@
     /// Told whenever the leadership key or this node's term may have changed.
     pub lead_changed: Notify,
     /// Drawn at each start, so that a node knows its former self from itself.
-    pub nonce: u64,
+    pub incarnation: u64,
     rng: Mutex<StdRng>,
     writer: Arc<Writer>,
     term: Mutex<Option<Term>>,
@@ -119,7 +119,7 @@
         // to how time runs here.
         let target = settings.report() / 2;
         let ceiling = settings.cluster.quota.fd_limit as usize / 4;
-        let nonce = rng.random();
+        let incarnation = rng.random();
         Arc::new(Self {
             state,
             cloud,
@@ -127,10 +127,10 @@
             requests,
             admission: AdmissionLimit::new(target, ceiling),
             picture: Mutex::default(),
-            peers: Peers::new(&settings, nonce),
+            peers: Peers::new(&settings, incarnation),
             settings,
             lead_changed: Notify::new(),
-            nonce,
+            incarnation,
             rng: Mutex::new(rng),
             writer,
             term: Mutex::new(None),
@@ -157,7 +157,7 @@
         duties.spawn(http::server::serve(self.clone(), public, stop.clone()));
         duties.spawn(peers::listen(self.clone(), internal, stop.clone()));
         for member in &self.settings.members {
-            duties.spawn(peers::greet(self.clone(), member.clone(), stop.clone()));
+            duties.spawn(peers::beat(self.clone(), member.clone(), stop.clone()));
         }
         stop.cancelled().await;
         duties.close();
@@ -295,7 +295,8 @@
         if !lock(&self.picture).loaded {
             return false;
         }
-        self.state_ok() || !self.peers.any(self.settings.leader_lease(), |hello| hello.state_ok)
+        self.state_ok()
+            || !self.peers.any(self.settings.leader_lease(), |heartbeat| heartbeat.state_ok)
     }
 
     fn state_ok(&self) -> bool {
@@ -405,16 +406,16 @@
 
     // Between controllers.
 
-    pub fn hello(&self, to: &str) -> Hello {
-        let (mark, echo) = lock(&self.peers.promises).greet(to, Instant::now());
-        Hello {
+    pub fn heartbeat(&self, to: &str) -> Heartbeat {
+        let (mark, echo) = lock(&self.peers.promises).beat(to, Instant::now());
+        Heartbeat {
             member: self.settings.member.clone(),
             mark,
             echo,
             leads: lock(&self.term).is_some(),
             token: lock(&self.picture).token.1,
             state_ok: self.state_ok(),
-            // Told to every member alike: counted once for whoever was greeted
+            // Told to every member alike: counted once for whoever was heard_from
             // first, it never reached the leader that needed it.
             strays: self.strayed(),
         }
@@ -427,14 +428,14 @@
 
     /// Whether workers report to another controller, but not to this one.
     pub fn hears_less(&self) -> bool {
-        !self.strayed() && self.peers.any(self.settings.report() * 2, |hello| hello.strays)
+        !self.strayed() && self.peers.any(self.settings.report() * 2, |heartbeat| heartbeat.strays)
     }
 
     /// Tells a leader through the state service that workers live, if no
-    /// greeting can: connections between the controllers may be refused while
+    /// heartbeat can: connections between the controllers may be refused while
     /// the leader loses its workers.
     pub async fn tell_stray(&self) {
-        let heard = self.peers.any(self.settings.leader_lease(), |hello| hello.leads);
+        let heard = self.peers.any(self.settings.leader_lease(), |heartbeat| heartbeat.leads);
         if heard || !self.strayed() || !self.state_ok() {
             return;
         }
@@ -444,15 +445,15 @@
         }
     }
 
-    pub fn on_hello(&self, hello: Hello) {
+    pub fn on_heartbeat(&self, heartbeat: Heartbeat) {
         let mut term = lock(&self.term);
-        if term.as_ref().is_some_and(|t| t.token < hello.token) {
-            warn!(member = %hello.member, token = hello.token, "another controller leads");
+        if term.as_ref().is_some_and(|t| t.token < heartbeat.token) {
+            warn!(member = %heartbeat.member, token = heartbeat.token, "another controller leads");
             *term = None;
             self.lead_changed.notify_one();
         }
         drop(term);
-        self.peers.note(hello);
+        self.peers.note(heartbeat);
     }
 
     // Leadership.
@@ -463,7 +464,7 @@
     }
 
     pub fn is_me(&self, lead: &Lead) -> bool {
-        lead.member == self.settings.member && lead.nonce == self.nonce
+        lead.member == self.settings.member && lead.incarnation == self.incarnation
     }
 
     pub fn begin_term(&self, version: u64, token: u64) {
@@ -509,7 +510,7 @@
             self.with_leader(version, |leader| leader.deserted(Instant::now())).unwrap_or(false);
         let lately = self.settings.report() * 2;
         let told = lock(&self.stray_told).is_some_and(|at| at.elapsed() < lately);
-        silent && (told || self.peers.any(lately, |hello| hello.strays))
+        silent && (told || self.peers.any(lately, |heartbeat| heartbeat.strays))
     }
 
     fn with_leader<T>(&self, version: u64, work: impl FnOnce(&mut Leader) -> T) -> Option<T> {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -1,7 +1,7 @@
-//! Links between the controllers: each greets the others several times per
+//! Links between the controllers: each sends the others heartbeats several times per
 //! leader lease, in bitcode frames over TCP.
 //!
-//! A greeting carries no authority. It lets a deposed leader learn of its
+//! A heartbeat carries no authority. It lets a deposed leader learn of its
 //! successor, a node that alone lost the state service know that it is alone,
 //! a leader know that nobody else answers workers (`caretaking.rs`),
 //! and a leader that hears no worker learn that workers live.
@@ -31,31 +31,31 @@
     caretaking::Promises,
     http::accept,
     node::Node,
-    protocol::Hello,
+    protocol::Heartbeat,
     settings::{Member, Settings},
     state::lock,
 };
 
-/// A greeting is a few dozen bytes; a longer frame is not one of ours.
+/// A heartbeat is a few dozen bytes; a longer frame is not one of ours.
 const FRAME_LIMIT: usize = 4096;
 
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT).new_codec()
 }
 
-/// The latest greeting of each other controller.
+/// The latest heartbeat of each other controller.
 pub struct Peers {
-    heard: Mutex<HashMap<String, (Hello, Instant)>>,
+    heard: Mutex<HashMap<String, (Heartbeat, Instant)>>,
     pub promises: Mutex<Promises>,
-    /// An unreadable greeting was logged: whoever sends them sends many.
+    /// An unreadable heartbeat was logged: whoever sends them sends many.
     garbled: AtomicBool,
 }
 
 impl Peers {
-    pub fn new(settings: &Settings, nonce: u64) -> Self {
+    pub fn new(settings: &Settings, incarnation: u64) -> Self {
         let members = settings.members.iter().map(|m| m.member.clone()).collect();
         let promise = settings.caretaking_promise();
-        let promises = Promises::new(members, nonce, promise, Instant::now());
+        let promises = Promises::new(members, incarnation, promise, Instant::now());
         Self {
             heard: Mutex::default(),
             promises: Mutex::new(promises),
@@ -63,19 +63,25 @@
         }
     }
 
-    pub fn note(&self, hello: Hello) {
+    pub fn note(&self, heartbeat: Heartbeat) {
         let now = Instant::now();
-        lock(&self.promises).greeted(&hello.member, hello.mark, hello.leads, hello.echo, now);
-        lock(&self.heard).insert(hello.member.clone(), (hello, Instant::now()));
+        lock(&self.promises).heard_from(
+            &heartbeat.member,
+            heartbeat.mark,
+            heartbeat.leads,
+            heartbeat.echo,
+            now,
+        );
+        lock(&self.heard).insert(heartbeat.member.clone(), (heartbeat, Instant::now()));
     }
 
-    /// Whether another controller greeted lately and says so of itself.
-    pub fn any(&self, within: Duration, says: impl Fn(&Hello) -> bool) -> bool {
-        lock(&self.heard).values().any(|(hello, at)| at.elapsed() < within && says(hello))
+    /// Whether another controller was heard lately and says so of itself.
+    pub fn any(&self, within: Duration, says: impl Fn(&Heartbeat) -> bool) -> bool {
+        lock(&self.heard).values().any(|(heartbeat, at)| at.elapsed() < within && says(heartbeat))
     }
 }
 
-/// Takes in the others' greetings.
+/// Takes in the others' heartbeats.
 pub async fn listen(node: Arc<Node>, listener: TcpListener, stop: CancellationToken) {
     let links = TaskTracker::new();
     while let Some(stream) = accept(&listener, &stop).await {
@@ -96,11 +102,11 @@
     let silence = node.settings.worker_lease();
     let mut frames = FramedRead::new(stream, codec());
     while let Ok(Some(Ok(frame))) = timeout(silence, frames.next()).await {
-        match bitcode::decode::<Hello>(&frame) {
-            Ok(hello) => node.on_hello(hello),
+        match bitcode::decode::<Heartbeat>(&frame) {
+            Ok(heartbeat) => node.on_heartbeat(heartbeat),
             Err(e) => {
                 if !node.peers.garbled.swap(true, Ordering::Relaxed) {
-                    warn!(error = %e, "a greeting can't be read; further ones are not told");
+                    warn!(error = %e, "a heartbeat can't be read; further ones are not told");
                 }
                 return;
             }
@@ -108,8 +114,8 @@
     }
 }
 
-/// Greets one other controller for as long as this one runs.
-pub async fn greet(node: Arc<Node>, member: Member, stop: CancellationToken) {
+/// Sends heartbeats to one other controller for as long as this one runs.
+pub async fn beat(node: Arc<Node>, member: Member, stop: CancellationToken) {
     let every = node.settings.leader_lease() / 4;
     tokio::select! {
         () = async {
@@ -117,7 +123,7 @@
                 if let Ok(Ok(stream)) = timeout(every, TcpStream::connect(member.endpoint)).await {
                     let mut frames = FramedWrite::new(stream, codec());
                     loop {
-                        let frame = Bytes::from(bitcode::encode(&node.hello(&member.member)));
+                        let frame = Bytes::from(bitcode::encode(&node.heartbeat(&member.member)));
                         match timeout(every, frames.send(frame)).await {
                             Ok(Ok(())) => tokio::time::sleep(every).await,
                             _ => break,
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -473,11 +473,11 @@
 /// What a controller tells the others about itself, several times per worker
 /// lease. It carries no authority: only the state service does.
 #[derive(Clone, Debug, PartialEq, bitcode::Encode, bitcode::Decode)]
-pub struct Hello {
+pub struct Heartbeat {
     pub member: String,
-    /// Which process says this, and its how manieth greeting it is.
+    /// Which process says this, and its how manieth heartbeat it is.
     pub mark: (u64, u64),
-    /// The latest greeting that this node heard from the receiver as a leader:
+    /// The latest heartbeat that this node heard from the receiver as a leader:
     /// it answers no reports of workers for a while after that.
     pub echo: Option<(u64, u64)>,
     pub leads: bool,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -345,8 +345,8 @@
         Duration::from_secs_f64(self.cluster.workers.lease_s / 3.0)
     }
 
-    /// How long a greeting of a leader keeps another controller from answering
-    /// workers. Greetings leave four times per leader lease, so one may be
+    /// How long a heartbeat of a leader keeps another controller from answering
+    /// workers. Heartbeats leave four times per leader lease, so one may be
     /// lost; and all of it, with a restart, must fit into a worker's lease.
     pub fn caretaking_promise(&self) -> Duration {
         self.leader_lease() * 3 / 4
--- a/src/store.rs
+++ b/src/store.rs
@@ -51,7 +51,7 @@
 pub struct Lead {
     pub member: String,
     /// Drawn at each start, so that a node knows its former self from itself.
-    pub nonce: u64,
+    pub incarnation: u64,
     pub token: u64,
     pub lease: u64,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -493,7 +493,7 @@
         for node in 0..3 {
             world.start_node(node);
         }
-        tokio::spawn(world.clone().greetings());
+        tokio::spawn(world.clone().links());
         for _ in 0..machines {
             let name: MachineId = {
                 let mut site = lock(&world.site);
@@ -538,7 +538,7 @@
     }
 
     /// The links between the controllers.
-    async fn greetings(self) {
+    async fn links(self) {
         loop {
             sleep(Duration::from_millis(900)).await;
             let (nodes, severed) = {
@@ -552,7 +552,7 @@
                         && from != to
                         && !cut
                     {
-                        receiver.on_hello(sender.hello(&format!("m-{to}")));
+                        receiver.on_heartbeat(sender.heartbeat(&format!("m-{to}")));
                     }
                 }
             }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -254,7 +254,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_leader_that_lost_its_workers_gives_way_before_their_leases_end() {
-    // Each node turns reports away and says so; whichever member it greets
+    // Each node turns reports away and says so; whichever member hears from it
     // first, the leader has to learn of it.
     let (world, leader, machines) = full_house("j-000014").await;
     loses_workers_but_no_task(&world, leader, &machines).await;
