A leader renews leases only while it knows of all cancellations that were told

Cause: a leader refused by the state service alone saw neither the watch nor what another controller committed and confirmed, and answered reports without end; in an outage right after that the cancelled tasks outlived cancel_s. Heartbeats now tell a leader all cancellations beyond its picture, and it stops those tasks; it answers workers only while, for each member, what was told is known up to a moment from which leases still run out within cancel_s. Frames have sections, so that a later version can add one.

Found by the stories: workers that a leader in doubt sends to look for another left all in one second and counted as lost, so that it gave way within the outage; and what was noted while all records were read again was forgotten. Orders to stop go directly to machines whose reports reach nobody. A first page carried out late, after its job was over, came back; it is conditioned on the job now. A repeat of a known job with a bad body got 400.

--- a/src/caretaking.rs
+++ b/src/caretaking.rs
@@ -17,8 +17,13 @@
 //! that this leader never heard: the last report that anybody answered was sent
 //! before the promises began.
 //!
-//! Nobody can be told to stop a cancelled job's tasks meanwhile. So caretaking
-//! ends early enough for their leases to run out within `cancel_s`.
+//! Whoever renews leases may not know of the latest cancellations: the state
+//! service may refuse a leader alone while another controller confirms some,
+//! and then be down for all. A leader told of them by another controller stops
+//! their tasks, since an end that was told is durable. But it answers workers
+//! only while, for each other controller, what that may have told users is
+//! known up to a moment so short ago that leases still run out within
+//! `cancel_s` (`Horizon`). Caretakers end by the same limit.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -27,6 +32,10 @@
 /// Steady clocks drift apart by far less than this share.
 const DRIFT: f64 = 0.99;
 
+/// For so many promises' time an echo is recognised. One that comes late
+/// promises nothing, but still tells up to when the sender's word holds.
+const ECHOES: u32 = 8;
+
 /// A heartbeat by which a process can be told from its former self.
 pub type Mark = (u64, u64);
 
@@ -39,8 +48,8 @@
     /// This process may not know what its former self promised, so its start
     /// counts like a heartbeat.
     bound_since: Instant,
-    /// The latest heartbeat as a leader, by member.
-    heard: HashMap<String, Mark>,
+    /// The latest heartbeat as a leader, by member, and its picture's revision.
+    heard: HashMap<String, (Mark, u64)>,
     count: u64,
     sent: VecDeque<(u64, Instant)>,
     /// For each member, from when until when it surely answers no reports.
@@ -70,40 +79,40 @@
 
     /// The mark of the next heartbeat to a member, and what was last heard
     /// from that member as a leader.
-    pub fn beat(&mut self, to: &str, now: Instant) -> (Mark, Option<Mark>) {
+    pub fn beat(&mut self, to: &str, now: Instant) -> (Mark, Option<(Mark, u64)>) {
         self.count += 1;
         self.sent.push_back((self.count, now));
-        while self.sent.front().is_some_and(|(_, at)| now > *at + self.promise) {
+        while self.sent.front().is_some_and(|(_, at)| now > *at + self.promise * ECHOES) {
             self.sent.pop_front();
         }
         ((self.incarnation, self.count), self.heard.get(to).copied())
     }
 
-    /// Takes in a member's heartbeat.
+    /// Takes in a member's heartbeat, and tells when the one that it echoes
+    /// left here. `leads`: the revision of its picture, if it leads.
     pub fn heard_from(
         &mut self,
         from: &str,
         mark: Mark,
-        leads: bool,
+        leads: Option<u64>,
         echo: Option<Mark>,
         now: Instant,
-    ) {
-        if leads {
+    ) -> Option<Instant> {
+        if let Some(revision) = leads {
             self.bound_since = now;
-            self.heard.insert(from.to_owned(), mark);
+            self.heard.insert(from.to_owned(), (mark, revision));
         }
-        let Some((_, count)) = echo.filter(|(incarnation, _)| *incarnation == self.incarnation)
-        else {
-            return;
-        };
-        let Some((_, sent)) = self.sent.iter().find(|(c, _)| *c == count) else { return };
-        let until = *sent + self.promise.mul_f64(DRIFT);
+        let (_, count) = echo.filter(|(incarnation, _)| *incarnation == self.incarnation)?;
+        let at = self.sent.binary_search_by_key(&count, |(c, _)| *c).ok()?;
+        let sent = self.sent.get(at)?.1;
+        let until = sent + self.promise.mul_f64(DRIFT);
         let cover = self.covered.entry(from.to_owned()).or_insert((now, until));
         if now > cover.1 {
             // It may have answered reports in between.
             cover.0 = now;
         }
         cover.1 = cover.1.max(until);
+        Some(sent)
     }
 
     /// Whether no promise binds this controller.
@@ -127,6 +136,42 @@
     }
 }
 
+/// Up to when this controller knows of every cancellation that users may have
+/// been told of.
+///
+/// A reading of the state service counts for all controllers, from when it was
+/// asked for: only durable ends are told. A heartbeat with all that its sender
+/// may have told counts for that one, from when the heartbeat that it echoes
+/// left here. It is enough that each sender looks at its own picture: what a
+/// former process of the same member told is in the picture of the next one as
+/// soon as that has read the records, and before that it says nothing.
+#[derive(Default)]
+pub struct Horizon {
+    read: Option<Instant>,
+    members: HashMap<String, Instant>,
+}
+
+impl Horizon {
+    pub fn read(&mut self, asked: Instant) {
+        self.read = self.read.max(Some(asked));
+    }
+
+    pub fn told_all(&mut self, member: &str, sent: Instant) {
+        let known = self.members.entry(member.to_owned()).or_insert(sent);
+        *known = sent.max(*known);
+    }
+
+    /// When the state service was last read.
+    pub fn last_read(&self) -> Option<Instant> {
+        self.read
+    }
+
+    /// The moment up to which all that any of `members` told is known.
+    pub fn of<'a>(&self, members: impl Iterator<Item = &'a str>) -> Option<Instant> {
+        members.map(|m| self.read.max(self.members.get(m).copied())).min().unwrap_or(self.read)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -143,9 +188,9 @@
     /// A heartbeat of the leader, heard at `at`, and the answer to it.
     fn exchange(leader: &mut Promises, other: &mut Promises, sent: Instant, at: Instant) {
         let (mark, echo) = leader.beat("b", sent);
-        other.heard_from("a", mark, true, echo, at);
+        other.heard_from("a", mark, Some(0), echo.map(|(mark, _)| mark), at);
         let (mark, echo) = other.beat("a", at);
-        leader.heard_from("b", mark, false, echo, at);
+        leader.heard_from("b", mark, None, echo.map(|(mark, _)| mark), at);
     }
 
     #[test]
@@ -176,7 +221,7 @@
         leader.begin_term();
         assert_eq!(leader.alone_since(at(2)), None);
         let (mark, echo) = other.beat("a", at(2));
-        leader.heard_from("b", mark, false, echo, at(2));
+        leader.heard_from("b", mark, None, echo.map(|(mark, _)| mark), at(2));
         assert_eq!(leader.alone_since(at(2)), None, "an echo of the earlier term");
         exchange(&mut leader, &mut other, at(3), at(3));
         assert_eq!(leader.alone_since(at(4)), Some(at(3)));
@@ -192,7 +237,7 @@
         let (mark, echo) = other.beat("a", at(6));
         let mut successor = Promises::new(vec!["b".into()], 3, PROMISE, at(6));
         successor.beat("b", at(6));
-        successor.heard_from("b", mark, false, echo, at(6));
+        successor.heard_from("b", mark, None, echo.map(|(mark, _)| mark), at(6));
         assert_eq!(successor.alone_since(at(6)), None);
     }
 }
--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -107,11 +107,19 @@
         let value = store::value(&content).ok()?;
         job.pages.insert(key.1);
         let page = store::page_key(&key.0, key.1);
+        let job_key = store::job_key(&key.0);
+        let arrival = job.arrival;
         let version =
             picture.pages.get(&key.0).and_then(|p| p.get(&key.1)).map_or(0, |p| p.version);
         self.inflight.insert(key.clone());
         Some(Commit {
-            conditions: vec![lead.clone(), Condition { key: page.clone(), version }],
+            // Conditioned on the job too: a first page that is carried out late,
+            // when the job is over and its pages are gone, finds version 0 again.
+            conditions: vec![
+                lead.clone(),
+                Condition { key: job_key, version: arrival },
+                Condition { key: page.clone(), version },
+            ],
             writes: vec![Write::Put { key: page, value, lease: None }],
             kind: CommitKind::Page { job: key.0, page: key.1, content },
         })
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -345,6 +345,7 @@
             self.next_care = now + self.settings.report() / 8;
             self.expire_sessions(now, alone);
             self.drain(now);
+            self.press_ended(now);
         }
         // Without the state service nothing new can be made durable, and an
         // old picture is no ground for returning machines.
@@ -447,6 +448,21 @@
         }
     }
 
+    /// Cancelled tasks on machines that don't report are told to stop directly,
+    /// again and again: their answers carry no order.
+    fn press_ended(&mut self, now: Instant) {
+        let silent = self.settings.report() * 2;
+        for job in self.jobs.values().filter(|j| j.ended.is_some()) {
+            for binding in job.bound.values() {
+                let machine = self.fleet.machines.get(&binding.machine);
+                let away = |m: &Machine| m.reported.is_none_or(|at| now > at + silent);
+                if machine.is_some_and(|m| away(m) && !m.addr.is_empty() && !m.prompting) {
+                    self.prompt.insert(binding.machine.clone());
+                }
+            }
+        }
+    }
+
     /// A cancelled job's tasks must be gone in time, even from a machine that
     /// can't be reached: then the machine itself goes.
     fn stop_ended(&mut self, now: Instant) {
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -28,6 +28,11 @@
         Ok(orders)
     }
 
+    /// Takes a report whose worker gets no orders.
+    pub fn hear(&mut self, report: &Report, now: Instant) -> Result<(), Deposed> {
+        self.take_report(report, false, now).map(|_| ())
+    }
+
     /// Takes a report and tells which orders are due. As the answer to direct
     /// orders it proves no absence: the worker may still be waiting for an
     /// answer to its last own report, with a start order in it.
@@ -47,6 +52,9 @@
             Freshness::NewSession => self.lose_sessions(&report.machine, report.session, now),
             Freshness::Newer => {}
         }
+        if !direct && let Some(machine) = self.fleet.machines.get_mut(&report.machine) {
+            machine.reported = Some(now);
+        }
         let reported: HashMap<TaskKey, &TaskReport> =
             report.tasks.iter().filter_map(|t| parse_task(&t.task).map(|key| (key, t))).collect();
         let bound: Vec<TaskKey> = self
@@ -323,14 +331,20 @@
         let report = self.settings.report();
         for id in std::mem::take(&mut self.prompt) {
             let Some(machine) = self.fleet.machines.get_mut(&id) else { continue };
-            if !machine.usable(now, report) && machine.notice_until.is_none() || !machine.mine {
+            // A worker whose reports reach nobody, or not this leader yet, may
+            // still take orders: cancelled tasks are stopped there, and nothing
+            // else is asked of it.
+            let usable = machine.usable(now, report) || machine.notice_until.is_some();
+            let commanded = usable && machine.mine;
+            if machine.deleting && !commanded {
                 continue;
             }
             if machine.prompting {
                 self.prompt.insert(id);
                 continue;
             }
-            let session = machine.seen.0;
+            let recorded = |key: &TaskKey| Some(self.jobs.get(&key.0)?.bound.get(&key.1)?.session);
+            let session = machine.session(machine.bound.iter().filter_map(recorded));
             let mut orders = Vec::new();
             for key in &machine.bound {
                 let Some(job) = self.jobs.get(&key.0) else { continue };
@@ -340,10 +354,13 @@
                 }
                 let stop =
                     if job.ended.is_some() { Some(0.0) } else { binding.stop.map(|s| s.grace_s) };
-                let start = stop.is_none() && !binding.seen;
+                let start = stop.is_none() && !binding.seen && commanded;
                 if start {
                     machine.unsure.insert((key.clone(), binding.attempt));
-                } else if stop.is_none() || !binding.seen {
+                } else if stop.is_none()
+                    || (commanded && !binding.seen)
+                    || (!commanded && job.ended.is_none())
+                {
                     continue;
                 }
                 orders.push(Order {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -98,8 +98,12 @@
     pub seen: (u64, u64),
     /// The worker has been seen at the leader's token in this session.
     pub mine: bool,
-    /// When the leader last answered a report of this worker.
+    /// When the leader last answered a report of this worker, or it a direct
+    /// order.
     pub answered: Option<Instant>,
+    /// When it last reported by itself: a worker that only answers direct
+    /// orders gets no lease.
+    pub reported: Option<Instant>,
     /// No task of this session or an earlier one can be on the machine.
     pub dead_session: u64,
     pub bound: BTreeSet<TaskKey>,
@@ -139,6 +143,7 @@
             seen: (0, 0),
             mine: false,
             answered: None,
+            reported: None,
             dead_session: 0,
             bound: BTreeSet::new(),
             unsure: HashSet::new(),
@@ -193,7 +198,13 @@
             && !self.deleting
             && self.notice_until.is_none()
             && self.seen.0 > self.dead_session
-            && self.silence(now) < report * 3
+            && self.reported.is_some_and(|at| now < at + report * 3)
+    }
+
+    /// The session that tasks on it belong to, as its reports or else the
+    /// records say.
+    pub fn session(&self, recorded: impl Iterator<Item = u64>) -> u64 {
+        if self.seen.0 > 0 { self.seen.0 } else { recorded.max().unwrap_or(0) }
     }
 
     /// Proof by lease: the worker gave up its session by itself, since nobody
@@ -287,6 +298,9 @@
                 machine
             });
             machine.listed = Some(listed.state);
+            if machine.addr.is_empty() {
+                machine.addr.clone_from(&listed.addr);
+            }
         }
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -22,12 +22,12 @@
     cloud::{CloudApi, CloudError},
     controller::{Commit, CommitKind, Leader},
     election,
-    fleet::WorkerApi,
+    fleet::{WorkerApi, parse_task},
     http, peers,
     peers::Peers,
     protocol::{
-        Condition, DirectOrders, Heartbeat, JobSpec, JobState, JobStatus, MachineId, Order, Rental,
-        Report, Shape, Write, is_job_id,
+        Condition, DirectOrders, Heartbeat, JobSpec, JobState, JobStatus, MachineId, Op, Order,
+        Rental, Report, Shape, TaskReport, TaskState, Told, Write, is_job_id,
     },
     scheduler::{TeamUse, placement, team_room},
     settings::Settings,
@@ -59,6 +59,10 @@
     Elsewhere(Option<String>),
 }
 
+/// Cancellations that one heartbeat carries at most. A leader misses those of
+/// a lease of its own at the most, before an outage keeps all from writing.
+const TOLD_LIMIT: usize = 1024;
+
 /// The leader's part of a node, while it leads.
 struct Term {
     version: u64,
@@ -93,8 +97,6 @@
     /// When the state service last answered, and whether it did last time.
     state_seen: Mutex<(Instant, bool)>,
     started: Instant,
-    /// When the state service last answered well.
-    state_good: Mutex<Option<Instant>>,
     /// Workers answered while nobody can lead, and since when.
     cared: Mutex<HashMap<MachineId, Instant>>,
     /// When a report was last turned away or answered in a leader's stead.
@@ -139,7 +141,6 @@
             read_wanted: Notify::new(),
             state_seen: Mutex::new((Instant::now(), false)),
             started: Instant::now(),
-            state_good: Mutex::new(None),
             cared: Mutex::default(),
             stray: Mutex::new(None),
             stray_told: Mutex::new(None),
@@ -179,7 +180,15 @@
     pub async fn submit(&self, body: &[u8]) -> Result<UserReply, Trouble> {
         let spec = match JobSpec::parse(body) {
             Ok(spec) => spec,
-            Err(reason) => return Ok(UserReply::Malformed(reason)),
+            // An accepted job stays accepted, whatever a repeat looks like.
+            Err(reason) => match JobSpec::id_of(body) {
+                Some(id) => {
+                    let known = self.status(&id).await?;
+                    let unknown = known == UserReply::Unknown;
+                    return Ok(if unknown { UserReply::Malformed(reason) } else { known });
+                }
+                None => return Ok(UserReply::Malformed(reason)),
+            },
         };
         let known = lock(&self.picture).status(&spec.id);
         match known {
@@ -331,30 +340,41 @@
         let held = term.as_mut()?;
         let in_doubt = now.saturating_duration_since(held.renewed) > self.settings.leader_lease();
         let leader = held.leader.as_mut()?;
+        let mut away = false;
         if in_doubt {
             // Another leader may be there by now, and a worker that stays
             // with us would never learn of it. It is sent to look once in a
             // while; if nobody else leads, it is back well within its lease.
             let every = self.settings.worker_lease() / 2;
-            let probed = held.probed.entry(report.machine.clone()).or_insert(held.renewed);
+            // Not all at once: a leader that most workers left looks deserted.
+            let first = || {
+                let early = lock(&self.rng).random_range(0.0..0.5);
+                held.renewed.checked_sub(every.mul_f64(early)).unwrap_or(held.renewed)
+            };
+            let probed = held.probed.entry(report.machine.clone()).or_insert_with(first);
             if now.saturating_duration_since(*probed) > every {
                 *probed = now;
-                return Some(ReportReply::Elsewhere(None));
-            }
-        }
-        match leader.on_report(report, now) {
-            Ok(orders) => Some(ReportReply::Orders { token: held.token, orders }),
-            Err(_) => {
-                self.depose(&mut term);
-                Some(ReportReply::Elsewhere(None))
+                away = true;
             }
         }
+        away |= !self.knows_enough(now);
+        // Who is sent away was heard all the same.
+        let heard = if away {
+            leader.hear(report, now).map(|()| ReportReply::Elsewhere(None))
+        } else {
+            let token = held.token;
+            leader.on_report(report, now).map(|orders| ReportReply::Orders { token, orders })
+        };
+        Some(heard.unwrap_or_else(|_| {
+            self.depose(&mut term);
+            ReportReply::Elsewhere(None)
+        }))
     }
 
     /// Answers a worker while nobody can lead, see `caretaking.rs`.
     fn take_care(&self, report: &Report, now: Instant) -> Option<ReportReply> {
         let limit = self.settings.caretaking_limit();
-        let until = match *lock(&self.state_good) {
+        let until = match lock(&self.peers.horizon).last_read() {
             Some(at) => at + limit,
             // This process knows nothing of the time before it: half of the
             // limit is left for that.
@@ -377,7 +397,31 @@
             cared.remove(&report.machine);
             return None;
         }
-        Some(ReportReply::Orders { token: report.token, orders: Vec::new() })
+        // A job whose end is known is stopped: that is right under any token.
+        let picture = lock(&self.picture);
+        let ended = |t: &&TaskReport| {
+            let job = parse_task(&t.task).and_then(|(job, _)| picture.ends.get(&job).copied());
+            t.state != TaskState::Exited && job.is_some_and(|e| e.state == JobState::Cancelled)
+        };
+        let stop = |t: &TaskReport| Order {
+            op: Op::Stop,
+            task: t.task.clone(),
+            attempt: t.attempt,
+            grace_s: Some(0.0),
+        };
+        let orders = report.tasks.iter().filter(ended).map(stop).collect();
+        Some(ReportReply::Orders { token: report.token, orders })
+    }
+
+    /// Whether a leader may renew workers' leases: not if another controller
+    /// may have told users of cancellations that this one knows nothing of and
+    /// that could then outlive `cancel_s`. While its own lease lasts a leader
+    /// always may, whatever the settings allow.
+    fn knows_enough(&self, now: Instant) -> bool {
+        let limit = self.settings.caretaking_limit().max(self.settings.leader_lease());
+        let members = self.settings.members.iter().map(|m| m.member.as_str());
+        let known = lock(&self.peers.horizon).of(members);
+        self.settings.members.is_empty() || known.is_some_and(|at| now < at + limit)
     }
 
     fn depose(&self, term: &mut Option<Term>) {
@@ -408,16 +452,26 @@
 
     pub fn heartbeat(&self, to: &str) -> Heartbeat {
         let (mark, echo) = lock(&self.peers.promises).beat(to, Instant::now());
+        let (leads, state_ok) = (lock(&self.term).is_some(), self.state_ok());
+        let picture = lock(&self.picture);
+        // A picture that was never read knows nothing of what a former process
+        // of this member told.
+        let told = echo.filter(|_| picture.loaded).map(|(_, since)| {
+            let (jobs, all) = picture.cancelled_since(since, TOLD_LIMIT);
+            Told { since, all, jobs }
+        });
         Heartbeat {
             member: self.settings.member.clone(),
             mark,
-            echo,
-            leads: lock(&self.term).is_some(),
-            token: lock(&self.picture).token.1,
-            state_ok: self.state_ok(),
-            // Told to every member alike: counted once for whoever was heard_from
+            echo: echo.map(|(mark, _)| mark),
+            leads,
+            token: picture.token.1,
+            state_ok,
+            // Told to every member alike: counted once for whoever was told
             // first, it never reached the leader that needed it.
             strays: self.strayed(),
+            revision: picture.revision,
+            told,
         }
     }
 
@@ -453,7 +507,22 @@
             self.lead_changed.notify_one();
         }
         drop(term);
-        self.peers.note(heartbeat);
+        self.take_told(heartbeat.told.as_ref());
+        let revision = lock(&self.picture).revision;
+        self.peers.note(heartbeat, revision);
+    }
+
+    /// Takes in what another controller may have told users: those ends are
+    /// durable, though the state service may not let this one see them.
+    fn take_told(&self, told: Option<&Told>) {
+        let mut changes = Vec::new();
+        for (id, version, done) in told.into_iter().flat_map(|told| &told.jobs) {
+            let end = End { state: JobState::Cancelled, done: *done };
+            if let Ok(value) = store::value(&end) {
+                changes.extend(lock(&self.picture).put(&store::end_key(id), value, *version));
+            }
+        }
+        self.dispatch(&changes);
     }
 
     // Leadership.
@@ -570,9 +639,10 @@
         answer.await.unwrap_or(Err(Trouble::State))
     }
 
-    fn note_state(&self, ok: bool) {
+    /// Notes how a reading went that was asked for at `asked`.
+    fn note_state(&self, asked: Instant, ok: bool) {
         if ok {
-            *lock(&self.state_good) = Some(Instant::now());
+            lock(&self.peers.horizon).read(asked);
         }
         *lock(&self.state_seen) = (Instant::now(), ok);
     }
@@ -622,13 +692,14 @@
         Duration::from_secs_f64(2.0 / node.settings.share(node.settings.cluster.state.rps, false));
     loop {
         while !lock(&node.picture).loaded {
+            let asked = Instant::now();
             match node.load().await {
                 Ok(()) => {
-                    node.note_state(true);
+                    node.note_state(asked, true);
                     info!(revision = lock(&node.picture).revision, "records loaded");
                 }
                 Err(error) => {
-                    node.note_state(false);
+                    node.note_state(asked, false);
                     debug!(%error, "the records can't be read");
                     tokio::time::sleep(pause).await;
                 }
@@ -666,9 +737,10 @@
         let waiting = std::mem::take(&mut *lock(&node.readers));
         let result = if loaded {
             node.requests.take(1.0).await;
+            let asked = Instant::now();
             let answer = node.state.follow(PREFIX, revision, Duration::ZERO).await;
-            node.note_state(answer.is_ok());
-            match answer {
+            let ok = answer.is_ok();
+            let result = match answer {
                 Ok(events) => {
                     node.take_events(events);
                     Ok(())
@@ -678,7 +750,10 @@
                     Err(Trouble::State)
                 }
                 Err(_) => Err(Trouble::State),
-            }
+            };
+            // Only once the picture holds what was read.
+            node.note_state(asked, ok);
+            result
         } else {
             Err(Trouble::State)
         };
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -28,7 +28,7 @@
 use tracing::warn;
 
 use crate::{
-    caretaking::Promises,
+    caretaking::{Horizon, Promises},
     http::accept,
     node::Node,
     protocol::Heartbeat,
@@ -36,8 +36,34 @@
     state::lock,
 };
 
-/// A heartbeat is a few dozen bytes; a longer frame is not one of ours.
-const FRAME_LIMIT: usize = 4096;
+/// A heartbeat is a few dozen bytes, and some dozens more for each cancellation
+/// that it tells; a longer frame is not one of ours.
+const FRAME_LIMIT: usize = 64 * 1024;
+
+/// What a frame's section holds. A field is never added to a struct on the
+/// wire, for bitcode doesn't describe itself: it gets a section of its own,
+/// which controllers of another version pass over.
+const HEARTBEAT: u8 = 1;
+const TOLD: u8 = 2;
+
+/// A frame is a list of sections, each with its kind. This outer form is for
+/// ever.
+pub fn encode(mut heartbeat: Heartbeat) -> Vec<u8> {
+    let told = heartbeat.told.take();
+    let mut sections = vec![(HEARTBEAT, bitcode::encode(&heartbeat))];
+    sections.extend(told.map(|told| (TOLD, bitcode::encode(&told))));
+    bitcode::encode(&sections)
+}
+
+/// Reads the sections that this version knows. What it can't read it takes for
+/// unsaid; none if there is no heartbeat that it can read.
+pub fn decode(frame: &[u8]) -> Option<Heartbeat> {
+    let sections: Vec<(u8, Vec<u8>)> = bitcode::decode(frame).ok()?;
+    let section = |kind: u8| sections.iter().find(|(k, _)| *k == kind).map(|(_, body)| body);
+    let mut heartbeat: Heartbeat = bitcode::decode(section(HEARTBEAT)?).ok()?;
+    heartbeat.told = section(TOLD).and_then(|body| bitcode::decode(body).ok());
+    Some(heartbeat)
+}
 
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT).new_codec()
@@ -47,6 +73,7 @@
 pub struct Peers {
     heard: Mutex<HashMap<String, (Heartbeat, Instant)>>,
     pub promises: Mutex<Promises>,
+    pub horizon: Mutex<Horizon>,
     /// An unreadable heartbeat was logged: whoever sends them sends many.
     garbled: AtomicBool,
 }
@@ -59,19 +86,27 @@
         Self {
             heard: Mutex::default(),
             promises: Mutex::new(promises),
+            horizon: Mutex::default(),
             garbled: AtomicBool::new(false),
         }
     }
 
-    pub fn note(&self, heartbeat: Heartbeat) {
+    /// Takes in a heartbeat. `revision`: what this node's picture, with what
+    /// the heartbeat told, has reached.
+    pub fn note(&self, heartbeat: Heartbeat, revision: u64) {
         let now = Instant::now();
-        lock(&self.promises).heard_from(
+        let leads = heartbeat.leads.then_some(heartbeat.revision);
+        let sent = lock(&self.promises).heard_from(
             &heartbeat.member,
             heartbeat.mark,
-            heartbeat.leads,
+            leads,
             heartbeat.echo,
             now,
         );
+        let all = heartbeat.told.as_ref().is_some_and(|told| told.all && told.since <= revision);
+        if let Some(sent) = sent.filter(|_| all) {
+            lock(&self.horizon).told_all(&heartbeat.member, sent);
+        }
         lock(&self.heard).insert(heartbeat.member.clone(), (heartbeat, Instant::now()));
     }
 
@@ -102,14 +137,14 @@
     let silence = node.settings.worker_lease();
     let mut frames = FramedRead::new(stream, codec());
     while let Ok(Some(Ok(frame))) = timeout(silence, frames.next()).await {
-        match bitcode::decode::<Heartbeat>(&frame) {
-            Ok(heartbeat) => node.on_heartbeat(heartbeat),
-            Err(e) => {
-                if !node.peers.garbled.swap(true, Ordering::Relaxed) {
-                    warn!(error = %e, "a heartbeat can't be read; further ones are not told");
-                }
-                return;
+        match decode(&frame) {
+            Some(heartbeat) => node.on_heartbeat(heartbeat),
+            // A newer version may say what this one can't read, and later
+            // frames may be readable: the link stays.
+            None if !node.peers.garbled.swap(true, Ordering::Relaxed) => {
+                warn!("a heartbeat can't be read; further ones are not told");
             }
+            None => {}
         }
     }
 }
@@ -123,7 +158,7 @@
                 if let Ok(Ok(stream)) = timeout(every, TcpStream::connect(member.endpoint)).await {
                     let mut frames = FramedWrite::new(stream, codec());
                     loop {
-                        let frame = Bytes::from(bitcode::encode(&node.heartbeat(&member.member)));
+                        let frame = Bytes::from(encode(node.heartbeat(&member.member)));
                         match timeout(every, frames.send(frame)).await {
                             Ok(Ok(())) => tokio::time::sleep(every).await,
                             _ => break,
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -93,6 +93,17 @@
         Ok(spec)
     }
 
+    /// The job's id alone, of a body that may be wrong in every other way.
+    pub fn id_of(body: &[u8]) -> Option<JobId> {
+        #[derive(Deserialize)]
+        struct Named {
+            #[serde(rename = "Ref")]
+            id: JobId,
+        }
+        let named: Named = serde_json::from_slice(body).ok()?;
+        is_job_id(&named.id).then_some(named.id)
+    }
+
     fn check(&self) -> Result<(), String> {
         if !is_job_id(&self.id) {
             return Err("Ref is not a job id".into());
@@ -346,6 +357,8 @@
     pub zone: Arc<str>,
     #[serde(rename = "Driftwood", default)]
     pub spot: bool,
+    #[serde(rename = "Endpoint", default)]
+    pub addr: String,
     #[serde(rename = "Stance")]
     pub state: MachineState,
     #[serde(rename = "HeldS", default)]
@@ -488,4 +501,20 @@
     /// Whether this node turned reports away lately: proof that workers live
     /// although the leader may not hear them.
     pub strays: bool,
+    /// The revision of this node's picture: it knows every cancellation up to it.
+    pub revision: u64,
+    /// What this node may have told users since the receiver's picture. It
+    /// travels in a section of its own (`peers.rs`).
+    pub told: Option<Told>,
+}
+
+/// All cancellations in the sender's picture beyond a revision.
+#[derive(Clone, Debug, PartialEq, bitcode::Encode, bitcode::Decode)]
+pub struct Told {
+    /// The receiver's revision, as its latest heartbeat as a leader had it.
+    pub since: u64,
+    /// False if there are more than one heartbeat carries.
+    pub all: bool,
+    /// Job, revision of its end record, tasks done: the oldest first.
+    pub jobs: Vec<(String, u64, u32)>,
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -352,9 +352,9 @@
         self.leader_lease() * 3 / 4
     }
 
-    /// For how long workers may be answered after the state service was last
-    /// reached: a job cancelled just before must be gone, by its worker's own
-    /// lease, within `cancel_s`.
+    /// For how long workers may be answered after the last moment up to which
+    /// all cancellations are known: a job cancelled just then must be gone, by
+    /// its worker's own lease, within `cancel_s`.
     pub fn caretaking_limit(&self) -> Duration {
         let workers = &self.cluster.workers;
         Duration::from_secs_f64((workers.cancel_s - workers.lease_s).max(0.0) * 0.9)
--- a/src/store.rs
+++ b/src/store.rs
@@ -13,7 +13,7 @@
 //! | `sw/e/{job}` | how the job ended, created once, kept for ever | leader (done), any node (cancelled) |
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
 
@@ -139,17 +139,31 @@
     pub jobs: HashMap<JobId, JobEntry>,
     pub pages: HashMap<JobId, BTreeMap<u32, PageEntry>>,
     pub ends: HashMap<JobId, End>,
+    /// Cancelled jobs by the revision of their end.
+    pub cancelled: BTreeSet<(u64, JobId)>,
 }
 
 impl Picture {
+    /// Jobs that were cancelled after `revision`, the first `most` of them, and
+    /// whether these are all.
+    pub fn cancelled_since(&self, revision: u64, most: usize) -> (Vec<(String, u64, u32)>, bool) {
+        let mut later = self.cancelled.range((revision.saturating_add(1), JobId::from(""))..);
+        let jobs = later
+            .by_ref()
+            .take(most)
+            .map(|(at, id)| (id.to_string(), *at, self.ends.get(id).map_or(0, |end| end.done)))
+            .collect();
+        (jobs, later.next().is_none())
+    }
+
     /// Takes a full reading in place of what is held. Returns what changed.
     pub fn replace(&mut self, items: Vec<Item>, revision: u64) -> Vec<Change> {
-        // Ends are kept for ever, and rereading keeps what was known of them.
         let old = std::mem::take(self);
         let mut changes = vec![Change::Lead];
         for item in items {
             changes.extend(self.put(&item.key, item.value, item.version));
         }
+        self.keep_later(&old, revision);
         for id in old.jobs.keys().filter(|id| !self.jobs.contains_key(*id)) {
             changes.push(Change::Ended(id.clone()));
         }
@@ -158,6 +172,33 @@
         changes
     }
 
+    /// Keeps what this node noted at once while the reading was under way, and
+    /// may have told users: the reading may be older. An accepted job must not
+    /// look ended because of that, nor a cancelled one unknown.
+    fn keep_later(&mut self, old: &Self, revision: u64) {
+        for (id, end) in &old.ends {
+            self.ends.entry(id.clone()).or_insert(*end);
+        }
+        self.cancelled.extend(old.cancelled.iter().cloned());
+        for (id, job) in old.jobs.iter().filter(|(_, job)| job.version > revision) {
+            self.jobs.entry(id.clone()).or_insert_with(|| job.clone());
+        }
+        for (id, pages) in &old.pages {
+            for (number, page) in pages.iter().filter(|(_, page)| page.version > revision) {
+                let held = self.pages.entry(id.clone()).or_default();
+                if held.get(number).is_none_or(|p| p.version < page.version) {
+                    held.insert(*number, page.clone());
+                }
+            }
+        }
+        if let Some((version, lead)) = old.lead.as_ref().filter(|(v, _)| *v > revision)
+            && self.lead.as_ref().is_none_or(|(v, _)| v < version)
+        {
+            self.lead = Some((*version, lead.clone()));
+        }
+        self.token = self.token.max(old.token);
+    }
+
     /// Applies what a watch brought. Changes already seen are passed over, so
     /// several watches may bring the same ones.
     pub fn apply(&mut self, events: Vec<Event>, revision: u64) -> Vec<Change> {
@@ -219,8 +260,14 @@
                         Some(Change::Arrived(id))
                     }
                     "e" if is_job_id(name) => {
+                        if self.ends.contains_key(name) {
+                            return None;
+                        }
                         let id: JobId = name.into();
-                        let end = read(key, &raw)?;
+                        let end: End = read(key, &raw)?;
+                        if end.state == JobState::Cancelled {
+                            self.cancelled.insert((version, id.clone()));
+                        }
                         self.ends.insert(id.clone(), end);
                         Some(Change::Ended(id))
                     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -14,14 +14,16 @@
     cloud::{CloudApi, CloudError},
     fleet::WorkerApi,
     http::client::CallError,
-    node::{Node, ReportReply, UserReply},
+    node::{Node, ReportReply, Trouble, UserReply},
+    peers,
     protocol::{
-        Cause, Condition, DirectOrders, Event, Events, Item, ItemPage, JobState, ListedMachine,
-        MachineId, MachineList, MachineState, MachineType, Op, Order, Rental, Report, TaskReport,
-        TaskState, Transaction, Write,
+        Cause, Condition, DirectOrders, Event, Events, Item, ItemPage, JobSpec, JobState,
+        ListedMachine, MachineId, MachineList, MachineState, MachineType, Op, Order, Rental,
+        Report, TaskReport, TaskState, Transaction, Write,
     },
     settings::{Member, Settings},
     state::{StateApi, StateError},
+    store,
 };
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
@@ -117,6 +119,8 @@
     held: Vec<Transaction>,
     /// How many transactions to carry out without an answer, by client.
     mute: HashMap<String, u32>,
+    /// How long an answer takes beyond the usual.
+    slow: Duration,
 }
 
 impl Store {
@@ -206,6 +210,10 @@
         }
     }
 
+    pub fn set_slow(&self, slow: Duration) {
+        lock(&self.0).slow = slow;
+    }
+
     pub fn hold(&self, client: &str) {
         lock(&self.0).held_clients.insert(client.into());
     }
@@ -219,6 +227,19 @@
         held.iter().map(|txn| store.multi(txn)).collect()
     }
 
+    /// Answers its clients again; what was held back is carried out later.
+    pub fn release_held(&self) -> Vec<Transaction> {
+        let mut store = lock(&self.0);
+        store.held_clients.clear();
+        std::mem::take(&mut store.held)
+    }
+
+    pub fn carry_out(&self, late: Vec<Transaction>) -> Vec<Result<u64, StateError>> {
+        let mut store = lock(&self.0);
+        store.expire();
+        late.iter().map(|txn| store.multi(txn)).collect()
+    }
+
     pub fn held_count(&self) -> usize {
         lock(&self.0).held.len()
     }
@@ -255,6 +276,10 @@
 }
 
 impl MemClient {
+    fn latency(&self) -> Duration {
+        LATENCY + lock(&self.store.0).slow
+    }
+
     fn open(&self) -> Result<std::sync::MutexGuard<'_, Store>, StateError> {
         let mut store = lock(&self.store.0);
         store.expire();
@@ -271,7 +296,7 @@
     fn list(&self, prefix: &str, since: &str) -> BoxFuture<'_, Result<ItemPage, StateError>> {
         let (prefix, since) = (prefix.to_owned(), since.to_owned());
         Box::pin(async move {
-            sleep(LATENCY).await;
+            sleep(self.latency()).await;
             let store = self.open()?;
             let mut items: Vec<Item> = store
                 .kv
@@ -293,7 +318,7 @@
     fn multi(&self, txn: &Transaction) -> BoxFuture<'_, Result<u64, StateError>> {
         let txn = txn.clone();
         Box::pin(async move {
-            sleep(LATENCY).await;
+            sleep(self.latency()).await;
             let silent = {
                 let mut store = self.open()?;
                 if store.held_clients.contains(&self.name) {
@@ -317,7 +342,7 @@
 
     fn lease(&self, ttl: Duration) -> BoxFuture<'_, Result<u64, StateError>> {
         Box::pin(async move {
-            sleep(LATENCY).await;
+            sleep(self.latency()).await;
             let mut store = self.open()?;
             store.next_lease += 1;
             let id = store.next_lease;
@@ -328,7 +353,7 @@
 
     fn touch(&self, lease: u64) -> BoxFuture<'_, Result<(), StateError>> {
         Box::pin(async move {
-            sleep(LATENCY).await;
+            sleep(self.latency()).await;
             let mut store = self.open()?;
             let (ttl, at) = store.leases.get_mut(&lease).ok_or(StateError::NoLease)?;
             *at = Instant::now() + *ttl;
@@ -338,7 +363,7 @@
 
     fn drop_lease(&self, lease: u64) -> BoxFuture<'_, Result<(), StateError>> {
         Box::pin(async move {
-            sleep(LATENCY).await;
+            sleep(self.latency()).await;
             self.open()?.end_lease(lease);
             Ok(())
         })
@@ -352,7 +377,7 @@
     ) -> BoxFuture<'_, Result<Events, StateError>> {
         let prefix = prefix.to_owned();
         Box::pin(async move {
-            sleep(LATENCY).await;
+            sleep(self.latency()).await;
             let until = Instant::now() + wait;
             if wait.is_zero() {
                 drop(self.open()?);
@@ -403,7 +428,13 @@
     cut_from: BTreeSet<usize>,
     /// Answers to its reports are lost.
     deaf: bool,
+    /// Its reports reach nobody, but direct orders reach it.
+    mute: bool,
+    /// It stands still; direct orders wait until it goes on.
+    hung: bool,
+    waiting: Vec<DirectOrders>,
     fails: bool,
+    last: Option<Report>,
 }
 
 #[derive(Default)]
@@ -416,7 +447,12 @@
     /// Nodes cut off from the other controllers.
     severed: BTreeSet<usize>,
     starts: u32,
+    sold_out: bool,
     seeds: u64,
+    specs: HashMap<String, JobSpec>,
+    /// When users were told that these are cancelled, and what else is final.
+    told: HashMap<String, Instant>,
+    finals: HashMap<String, JobState>,
     /// How long a task runs; services never end.
     run: HashMap<String, Duration>,
 }
@@ -440,6 +476,9 @@
             if let Some(names) = site.rented.get(&rental.request) {
                 return Ok(names.clone());
             }
+            if site.sold_out {
+                return Err(CloudError::NoCapacity);
+            }
             let mut names = Vec::new();
             for _ in 0..rental.count {
                 site.next += 1;
@@ -476,6 +515,7 @@
                     machine_type: "g8".into(),
                     zone: w.zone.clone(),
                     spot: w.spot,
+                    addr: id.to_string(),
                     state: MachineState::Running,
                     age_s: 0.0,
                 })
@@ -494,13 +534,9 @@
             world.start_node(node);
         }
         tokio::spawn(world.clone().links());
+        tokio::spawn(world.clone().judge());
         for _ in 0..machines {
-            let name: MachineId = {
-                let mut site = lock(&world.site);
-                site.next += 1;
-                format!("n-{:06}", site.next).into()
-            };
-            world.boot(name, "a".into(), false, Duration::ZERO);
+            world.add_machine("a");
         }
         world
             .until("a leader knows the machine types", || {
@@ -512,6 +548,87 @@
         world
     }
 
+    pub fn add_machine(&self, zone: &str) {
+        let name: MachineId = {
+            let mut site = lock(&self.site);
+            site.next += 1;
+            format!("n-{:06}", site.next).into()
+        };
+        self.boot(name, zone.into(), false, Duration::ZERO);
+    }
+
+    /// No task of a job outlives `cancel_s` after its user was told.
+    async fn judge(self) {
+        let limit = Duration::from_secs(36);
+        loop {
+            sleep(Duration::from_millis(250)).await;
+            let over: Vec<String> = {
+                let site = lock(&self.site);
+                let late = site.told.iter().filter(|(_, at)| at.elapsed() > limit);
+                late.map(|(job, _)| job.clone()).collect()
+            };
+            for job in over {
+                for machine in self.machines_of(&job) {
+                    let what = format!("ran_cancelled: {job} on {machine}");
+                    let mut site = lock(&self.site);
+                    if !site.broken.contains(&what) {
+                        site.broken.push(what);
+                    }
+                }
+            }
+        }
+    }
+
+    /// What a user hears, held against what any user heard before.
+    fn hear(&self, id: &str, reply: &Result<UserReply, Trouble>) {
+        let mut site = lock(&self.site);
+        let heard = match reply {
+            Ok(UserReply::Known(status) | UserReply::Created(status)) => Some(status.state),
+            Ok(_) => None,
+            Err(_) => return,
+        };
+        match site.finals.get(id) {
+            Some(told) if Some(*told) != heard => {
+                let what = format!("went_back: {id} was {told:?}, now {heard:?}");
+                site.broken.push(what);
+            }
+            _ => {}
+        }
+        match heard {
+            Some(JobState::Cancelled) => {
+                site.told.entry(id.into()).or_insert_with(Instant::now);
+                site.finals.insert(id.into(), JobState::Cancelled);
+            }
+            Some(JobState::Done) => {
+                site.finals.insert(id.into(), JobState::Done);
+            }
+            _ => {}
+        }
+    }
+
+    pub async fn ask(&self, node: usize, id: &str) -> Result<UserReply, Trouble> {
+        let reply = self.node(node).status(id).await;
+        self.hear(id, &reply);
+        reply
+    }
+
+    pub async fn cancel(&self, node: usize, id: &str) -> Result<UserReply, Trouble> {
+        let reply = self.node(node).cancel(id).await;
+        self.hear(id, &reply);
+        reply
+    }
+
+    pub async fn submit(
+        &self,
+        node: usize,
+        id: &str,
+        changes: serde_json::Value,
+    ) -> Result<UserReply, Trouble> {
+        let reply = self.node(node).submit(&job(id, changes)).await;
+        self.hear(id, &reply);
+        reply
+    }
+
     pub fn start_node(&self, at: usize) {
         let name = format!("m-{at}");
         let stop = CancellationToken::new();
@@ -552,7 +669,9 @@
                         && from != to
                         && !cut
                     {
-                        receiver.on_heartbeat(sender.heartbeat(&format!("m-{to}")));
+                        // As over the wire.
+                        let frame = peers::encode(sender.heartbeat(&format!("m-{to}")));
+                        receiver.on_heartbeat(peers::decode(&frame).expect("a heartbeat"));
                     }
                 }
             }
@@ -564,6 +683,10 @@
         lock(&self.site).severed.insert(node);
     }
 
+    pub fn mend(&self, node: usize) {
+        lock(&self.site).severed.remove(&node);
+    }
+
     /// Ends a node without any farewell.
     pub fn kill_node(&self, at: usize) {
         if let Some((_, stop)) = lock(&self.site).nodes[at].take() {
@@ -636,10 +759,58 @@
         worker.cut_from = nodes.iter().copied().collect();
     }
 
+    pub fn cut_if_there(&self, machine: &str, nodes: &[usize]) {
+        if let Some(worker) = lock(&self.site).workers.get_mut(machine) {
+            worker.cut_from = nodes.iter().copied().collect();
+        }
+    }
+
+    /// A machine stops with all that is on it.
+    pub fn lose(&self, machine: &str) {
+        lock(&self.site).workers.remove(machine);
+    }
+
+    /// From now on the cloud rents nothing.
+    pub fn no_more_machines(&self) {
+        lock(&self.site).sold_out = true;
+    }
+
     pub fn set_deaf(&self, machine: &str, deaf: bool) {
         lock(&self.site).workers.get_mut(machine).expect("known machine").deaf = deaf;
     }
 
+    pub fn set_mute(&self, machine: &str, mute: bool) {
+        lock(&self.site).workers.get_mut(machine).expect("known machine").mute = mute;
+    }
+
+    /// Lets a machine stand still, or go on with what waited for it.
+    pub fn set_hung(&self, machine: &str, hung: bool) {
+        let mut site = lock(&self.site);
+        let worker = site.workers.get_mut(machine).expect("known machine");
+        worker.hung = hung;
+        if !hung {
+            worker.end_overdue_session();
+            let waiting = std::mem::take(&mut worker.waiting);
+            for orders in waiting {
+                site.obey(&machine.into(), orders);
+            }
+        }
+    }
+
+    pub fn session(&self, machine: &str) -> u64 {
+        lock(&self.site).workers.get(machine).map_or(0, |w| w.session)
+    }
+
+    /// The last report that a machine sent.
+    pub fn last_report(&self, machine: &str) -> Report {
+        lock(&self.site).workers[machine].last.clone().expect("a report")
+    }
+
+    /// Machines that are up.
+    pub fn machines(&self) -> Vec<MachineId> {
+        lock(&self.site).workers.keys().cloned().collect()
+    }
+
     pub fn set_failing(&self, machine: &str) {
         lock(&self.site).workers.get_mut(machine).expect("known machine").fails = true;
     }
@@ -658,7 +829,11 @@
                 tasks: BTreeMap::new(),
                 cut_from: BTreeSet::new(),
                 deaf: false,
+                mute: false,
+                hung: false,
+                waiting: Vec::new(),
                 fails: false,
+                last: None,
             };
             lock(&world.site).workers.insert(name.clone(), worker);
             world.work(&name).await;
@@ -671,11 +846,14 @@
         loop {
             sleep(Duration::from_millis(950)).await;
             let sent = Instant::now();
-            let Some((report, cut, deaf)) = self.next_report(name) else { return };
+            let Some((report, cut, deaf, mute)) = self.next_report(name) else { return };
+            let Some(report) = report else { continue };
             let node = lock(&self.site).nodes[at].as_ref().map(|(n, _)| n.clone());
-            let reply = if cut.contains(&at) { None } else { node.map(|n| n.report(&report)) };
+            let lost = mute || cut.contains(&at);
+            let reply = if lost { None } else { node.map(|n| n.report(&report)) };
             match reply.filter(|_| !deaf) {
                 Some(ReportReply::Orders { token, orders }) => {
+                    self.learn(&orders);
                     let mut site = lock(&self.site);
                     let Some(worker) = site.workers.get_mut(name) else { return };
                     if token < worker.token {
@@ -698,30 +876,56 @@
         }
     }
 
-    fn next_report(&self, name: &MachineId) -> Option<(Report, BTreeSet<usize>, bool)> {
+    /// Notes the jobs of tasks that are to start, as users described them.
+    fn learn(&self, orders: &[Order]) {
+        for order in orders.iter().filter(|o| o.op == Op::Start) {
+            let id = order.task.split('/').next().unwrap_or_default();
+            let spec = self.state.value(&store::job_key(id));
+            if let Some(spec) = spec.and_then(|text| serde_json::from_str(&text).ok()) {
+                lock(&self.site).specs.insert(id.into(), spec);
+            }
+        }
+    }
+
+    fn next_report(
+        &self,
+        name: &MachineId,
+    ) -> Option<(Option<Report>, BTreeSet<usize>, bool, bool)> {
         let mut site = lock(&self.site);
         let now = Instant::now();
         let run = site.run.clone();
         let worker = site.workers.get_mut(name)?;
-        if worker.leased.elapsed() > Duration::from_secs(11) {
-            worker.tasks.clear();
-            worker.session += 1;
-            worker.leased = now;
+        let (cut, deaf, mute) = (worker.cut_from.clone(), worker.deaf, worker.mute);
+        if worker.hung {
+            return Some((None, cut, deaf, mute));
         }
+        worker.end_overdue_session();
         for (task, on) in &mut worker.tasks {
             let job = task.split('/').next().unwrap_or_default();
             let age = now - on.since;
             if on.state == TaskState::Running && worker.fails {
                 (on.state, on.cause) = (TaskState::Exited, Some(Cause::Error));
-            } else if on.state == TaskState::Running && run.get(job).is_some_and(|r| age >= *r) {
+            } else if on.state == TaskState::Running
+                && run.get(task).or(run.get(job)).is_some_and(|r| age >= *r)
+            {
                 (on.state, on.cause) = (TaskState::Exited, Some(Cause::Done));
             }
         }
-        Some((worker.report(name), worker.cut_from.clone(), worker.deaf))
+        let report = worker.report(name);
+        worker.last = Some(report.clone());
+        Some((Some(report), cut, deaf, mute))
     }
 }
 
 impl Worker {
+    fn end_overdue_session(&mut self) {
+        if self.leased.elapsed() > Duration::from_secs(11) {
+            self.tasks.clear();
+            self.session += 1;
+            self.leased = Instant::now();
+        }
+    }
+
     fn report(&mut self, name: &MachineId) -> Report {
         self.seq += 1;
         let tasks = self
@@ -765,6 +969,7 @@
         let name: MachineId = addr.into();
         Box::pin(async move {
             sleep(LATENCY).await;
+            self.world.learn(&orders.orders);
             let answer = {
                 let mut site = lock(&self.world.site);
                 site.command(&name, self.at, orders)
@@ -781,10 +986,20 @@
 impl Site {
     /// Direct orders from node `from`: the worker's report, or silence.
     fn command(&mut self, name: &MachineId, from: usize, orders: DirectOrders) -> Option<Report> {
-        let worker = self.workers.get(name)?;
+        let worker = self.workers.get_mut(name)?;
+        if worker.hung {
+            worker.waiting.push(orders);
+            return None;
+        }
         if worker.deaf || worker.cut_from.contains(&from) {
             return None;
         }
+        self.obey(name, orders)
+    }
+
+    /// Direct orders are carried out whenever token and session match.
+    fn obey(&mut self, name: &MachineId, orders: DirectOrders) -> Option<Report> {
+        let worker = self.workers.get(name)?;
         let carried = orders.token >= worker.token && orders.session == worker.session;
         if carried {
             for order in orders.orders {
@@ -796,6 +1011,39 @@
         Some(worker.report(name))
     }
 
+    /// Whether a task that just started keeps its job's and its team's bounds.
+    fn check_start(&mut self, task: &str, zone: &Arc<str>, spot: bool) {
+        let job = task.split('/').next().unwrap_or_default();
+        let Some(spec) = self.specs.get(job).cloned() else {
+            return self.broken.push(format!("a task of an unknown job started: {task}"));
+        };
+        let live = |w: &Worker| -> Vec<String> {
+            let live = w.tasks.iter().filter(|(_, on)| on.state != TaskState::Exited);
+            live.map(|(task, _)| task.split('/').next().unwrap_or_default().to_owned()).collect()
+        };
+        let mut team = 0.0;
+        let mut zones: HashMap<Arc<str>, u32> = HashMap::new();
+        for worker in self.workers.values() {
+            for other in live(worker) {
+                let of = self.specs.get(&other);
+                team += of.filter(|s| s.team == spec.team).map_or(0.0, |s| s.gpus);
+                if other == job {
+                    *zones.entry(worker.zone.clone()).or_default() += 1;
+                }
+            }
+        }
+        if &*spec.team == "red" && team > 16.0 {
+            self.broken.push(format!("quota: {team} GPUs with {task}"));
+        }
+        let wrong = spec.zone.as_ref().is_some_and(|z| z != zone)
+            || (spot && !spec.spot)
+            || (spec.one_zone && zones.len() > 1)
+            || (spec.spread && zones.values().any(|n| *n > spec.tasks.div_ceil(2)));
+        if wrong {
+            self.broken.push(format!("wrong_place: {task} in {zone}"));
+        }
+    }
+
     fn carry_out(&mut self, name: &MachineId, order: Order) {
         let elsewhere = self.workers.iter().any(|(id, w)| {
             id != name && w.tasks.get(&order.task).is_some_and(|o| o.state != TaskState::Exited)
@@ -810,13 +1058,15 @@
                     self.broken.push(format!("ran_twice: {} on {name}", order.task));
                 }
                 self.starts += 1;
+                let (zone, spot) = (worker.zone.clone(), worker.spot);
                 let on = OnMachine {
                     attempt: order.attempt,
                     state: TaskState::Running,
                     cause: None,
                     since: Instant::now(),
                 };
-                worker.tasks.insert(order.task, on);
+                worker.tasks.insert(order.task.clone(), on);
+                self.check_start(&order.task, &zone, spot);
             }
             Op::Stop => {
                 if let Some(on) = worker.tasks.get_mut(&order.task)
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1,5 +1,6 @@
 //! Short stories of a whole deployment in memory, told under paused time.
 
+#[allow(dead_code)] // Each test file uses its own part.
 mod common;
 
 use std::time::Duration;
