--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -28,9 +28,13 @@
         Ok(orders)
     }
 
-    /// Takes a report whose worker gets no orders.
-    pub fn hear(&mut self, report: &Report, now: Instant) -> Result<(), Deposed> {
-        self.take_report(report, false, now).map(|_| ())
+    /// Takes a report whose worker is sent to look for another leader.
+    pub fn send_away(&mut self, report: &Report, now: Instant) -> Result<(), Deposed> {
+        self.take_report(report, false, now)?;
+        if let Some(machine) = self.fleet.machines.get_mut(&report.machine) {
+            machine.sent_away = Some(now);
+        }
+        Ok(())
     }
 
     /// Takes a report and tells which orders are due. As the answer to direct
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -104,6 +104,8 @@
     /// When it last reported by itself: a worker that only answers direct
     /// orders gets no lease.
     pub reported: Option<Instant>,
+    /// When it was sent to look for another leader.
+    pub sent_away: Option<Instant>,
     /// No task of this session or an earlier one can be on the machine.
     pub dead_session: u64,
     pub bound: BTreeSet<TaskKey>,
@@ -144,6 +146,7 @@
             mine: false,
             answered: None,
             reported: None,
+            sent_away: None,
             dead_session: 0,
             bound: BTreeSet::new(),
             unsure: HashSet::new(),
@@ -313,7 +316,10 @@
         let (mut all, mut silent) = (0, 0);
         for machine in heard {
             all += 1;
-            if machine.silence(now) > limit {
+            // Whom a leader in doubt sent away may be back only after asking
+            // every other controller.
+            let away = machine.sent_away.is_some_and(|at| now < at + limit * 2);
+            if machine.silence(now) > limit && !away {
                 silent += 1;
             }
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -346,21 +346,17 @@
             // with us would never learn of it. It is sent to look once in a
             // while; if nobody else leads, it is back well within its lease.
             let every = self.settings.worker_lease() / 2;
-            // Not all at once: a leader that most workers left looks deserted.
-            let first = || {
-                let early = lock(&self.rng).random_range(0.0..0.5);
-                held.renewed.checked_sub(every.mul_f64(early)).unwrap_or(held.renewed)
-            };
-            let probed = held.probed.entry(report.machine.clone()).or_insert_with(first);
+            let probed = held.probed.entry(report.machine.clone()).or_insert(held.renewed);
             if now.saturating_duration_since(*probed) > every {
                 *probed = now;
                 away = true;
             }
         }
         away |= !self.knows_enough(now);
-        // Who is sent away was heard all the same.
+        // All are sent away in one second, and a leader that seemed to have
+        // lost them would give way, in an outage to nobody.
         let heard = if away {
-            leader.hear(report, now).map(|()| ReportReply::Elsewhere(None))
+            leader.send_away(report, now).map(|()| ReportReply::Elsewhere(None))
         } else {
             let token = held.token;
             leader.on_report(report, now).map(|orders| ReportReply::Orders { token, orders })
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -12,6 +12,7 @@
 use stonewheel::{
     node::{Trouble, UserReply},
     protocol::JobState,
+    store,
 };
 use tokio::time::{Instant, sleep};
 
@@ -82,7 +83,15 @@
 async fn a_leader_without_store_and_peers_stops_renewing_leases_in_time() {
     let (world, leader, other) = two_services().await;
     world.sever(leader);
+    // Nobody else is reached, who might know and tell.
+    let others: Vec<usize> = (0..3).filter(|n| *n != leader).collect();
+    for machine in world.machines() {
+        world.cut(&machine, &others);
+    }
     gap(&world, leader, other, 60).await;
+    for machine in world.machines() {
+        world.cut(&machine, &[]);
+    }
     gap_ends(&world, leader).await;
 }
 
@@ -376,6 +385,8 @@
         let starts = world.starts();
         assert!(state(&world.submit(0, &id, json!({"Spokes": 2})).await).is_some());
         world.until("it runs", || world.starts() == starts + 2).await;
+        // A slow answer widens the moment in which both ends are under way.
+        world.state.set_slow(Duration::from_millis(u64::from(step % 2) * 200));
         sleep(Duration::from_millis(2500 + 120 * u64::from(step))).await;
         let (a, b, c) = tokio::join!(
             world.cancel((step as usize) % 3, &id),
@@ -385,6 +396,10 @@
         assert!(a.is_ok() && b.is_ok() && c.is_ok());
         let end = state(&a).expect("an end");
         assert!(matches!(end, JobState::Done | JobState::Cancelled), "{end:?}");
+        // One record of the end, which later processes will read.
+        let record = world.state.value(&store::end_key(&id)).expect("an end record");
+        let record: store::End = serde_json::from_str(&record).expect("an end");
+        assert_eq!(record.state, end);
         for node in 0..3 {
             assert_eq!(state(&world.ask(node, &id).await), Some(end));
             assert_eq!(state(&world.cancel(node, &id).await), Some(end));
@@ -427,15 +442,20 @@
         }
         // Submissions, a cancellation, pages and ends hang; nobody is told.
         let on = held[0];
+        world.runs_for("j-000004", 6);
+        let _ = world.submit((on + 1) % 3, "j-000004", json!({})).await;
         let (submitted, cancelled) =
             tokio::join!(world.submit(on, "j-000002", json!({})), world.cancel(on, "j-000001"));
         assert!(submitted.is_err() && cancelled.is_err());
-        seconds(3).await;
+        seconds(6).await;
         let late = world.state.release_held();
         let _ = world.submit(on, "j-000002", json!({})).await;
         let _ = world.submit(on, "j-000003", json!({})).await;
         world.until_state(on, "j-000003", JobState::Done).await;
         world.until_state(on, "j-000002", JobState::Done).await;
+        if !all {
+            world.until_state(on, "j-000004", JobState::Done).await;
+        }
         // Well after all that replaced them.
         seconds(20).await;
         world.state.carry_out(late);
