--- /dev/null
+++ b/src/caretaking/tests.rs
@@ -0,0 +1,66 @@
+use super::*;
+
+const PROMISE: Duration = Duration::from_secs(4);
+
+fn pair() -> (Promises, Promises, Instant) {
+    let now = Instant::now();
+    let leader = Promises::new(vec!["b".into()], 1, PROMISE, now);
+    let other = Promises::new(vec!["a".into()], 2, PROMISE, now);
+    (leader, other, now)
+}
+
+/// A heartbeat of the leader, heard at `at`, and the answer to it.
+fn exchange(leader: &mut Promises, other: &mut Promises, sent: Instant, at: Instant) {
+    let (mark, echo) = leader.beat("b", sent);
+    other.heard_from("a", mark, Some(0), echo.map(|(mark, _)| mark), at);
+    let (mark, echo) = other.beat("a", at);
+    leader.heard_from("b", mark, None, echo.map(|(mark, _)| mark), at);
+}
+
+#[test]
+fn a_leader_is_alone_only_while_promises_last() {
+    let (mut leader, mut other, now) = pair();
+    let at = |s: u64| now + Duration::from_secs(s);
+    assert_eq!(leader.alone_since(now), None, "nothing was promised yet");
+    assert!(!other.free(at(3)), "it may be its former self's promise");
+    assert!(other.free(at(5)));
+    exchange(&mut leader, &mut other, at(6), at(6));
+    exchange(&mut leader, &mut other, at(8), at(8));
+    assert_eq!(leader.alone_since(at(9)), Some(at(6)));
+    assert!(!other.free(at(11)));
+    // The leader stops counting on the promise before the other is free.
+    assert_eq!(leader.alone_since(at(12)), None);
+    assert!(!other.free(at(12)) && other.free(at(13)));
+    exchange(&mut leader, &mut other, at(14), at(14));
+    assert_eq!(leader.alone_since(at(15)), Some(at(14)), "the gap counts");
+}
+
+#[test]
+fn promises_of_an_earlier_term_are_forgotten() {
+    // Another may have led in between and answered workers.
+    let (mut leader, mut other, now) = pair();
+    let at = |s: u64| now + Duration::from_secs(s);
+    exchange(&mut leader, &mut other, at(1), at(1));
+    assert!(leader.alone_since(at(2)).is_some());
+    leader.begin_term();
+    assert_eq!(leader.alone_since(at(2)), None);
+    let (mark, echo) = other.beat("a", at(2));
+    leader.heard_from("b", mark, None, echo.map(|(mark, _)| mark), at(2));
+    assert_eq!(leader.alone_since(at(2)), None, "an echo of the earlier term");
+    exchange(&mut leader, &mut other, at(3), at(3));
+    assert_eq!(leader.alone_since(at(4)), Some(at(3)));
+}
+
+#[test]
+fn a_late_heartbeat_promises_nothing_that_is_over() {
+    let (mut leader, mut other, now) = pair();
+    let at = |s: u64| now + Duration::from_secs(s);
+    exchange(&mut leader, &mut other, at(1), at(6));
+    assert_eq!(leader.alone_since(at(6)), None);
+    // Nor does an echo of what a former self of the leader sent.
+    let (mark, echo) = other.beat("a", at(6));
+    let mut successor = Promises::new(vec!["b".into()], 3, PROMISE, at(6));
+    successor.beat("b", at(6));
+    successor.heard_from("b", mark, None, echo.map(|(mark, _)| mark), at(6));
+    assert_eq!(successor.alone_since(at(6)), None);
+}
--- /dev/null
+++ b/src/node/leading.rs
@@ -0,0 +1,223 @@
+//! What a leader does for as long as its term stands: carries out what its duty
+//! decides.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tracing::{debug, info, warn};
+
+use super::{Node, until};
+use crate::{
+    cloud::CloudError,
+    controller::{Commit, CommitKind, Leader},
+    protocol::{DirectOrders, MachineId, Rental},
+    state::{StateError, lock},
+    store::Page,
+};
+
+/// What a leader does for as long as its term stands.
+pub async fn lead_duty(node: Arc<Node>, version: u64, stop: CancellationToken) {
+    let work = TaskTracker::new();
+    tokio::select! {
+        () = lead(&node, version, &work, &stop) => {}
+        () = stop.cancelled() => {}
+    }
+    work.close();
+    work.wait().await;
+}
+
+async fn lead(node: &Arc<Node>, version: u64, work: &TaskTracker, stop: &CancellationToken) {
+    let report = node.settings.report();
+    // The picture must hold every write of the former leaders.
+    while node.fresh().await.is_err() {
+        tokio::time::sleep(report / 8).await;
+    }
+    {
+        let picture = lock(&node.picture);
+        let mut term = lock(&node.term);
+        let Some(held) = term.as_mut().filter(|t| t.version == version) else { return };
+        let leader =
+            Leader::new(node.settings.clone(), version, held.token, &picture, Instant::now());
+        info!(token = held.token, "{}", leader.summary(Instant::now()));
+        held.leader = Some(leader);
+    }
+    work.spawn(until(stop.clone(), cloud_duty(node.clone(), version)));
+    let mut told = Instant::now();
+    loop {
+        let _ = tokio::time::timeout(report / 4, node.work.notified()).await;
+        let now = Instant::now();
+        let paused = node.in_doubt();
+        let alone = lock(&node.peers.promises).alone_since(now);
+        let due = {
+            let picture = lock(&node.picture);
+            node.with_leader(version, |leader| {
+                leader.tick(now, paused, alone);
+                leader.took(now, now.elapsed());
+                if told + report * 10 < now {
+                    told = now;
+                    info!("{}", leader.summary(now));
+                    if leader.outnumbered() {
+                        warn!("cluster.quota.fd_limit: more machines than sockets for them");
+                    }
+                }
+                let commits =
+                    if leader.has_writes() { leader.take_commits(&picture) } else { Vec::new() };
+                let direct = leader.take_direct(now);
+                (commits, direct, leader.take_rentals(), leader.take_deletions())
+            })
+        };
+        let Some((commits, direct, rentals, deletions)) = due else { return };
+        for commit in commits {
+            work.spawn(until(stop.clone(), carry(node.clone(), version, commit)));
+        }
+        for (id, addr, orders) in direct {
+            work.spawn(until(stop.clone(), prompt(node.clone(), version, id, addr, orders)));
+        }
+        for rental in rentals {
+            work.spawn(until(stop.clone(), rent(node.clone(), version, rental)));
+        }
+        if !deletions.is_empty() {
+            work.spawn(until(stop.clone(), give_back(node.clone(), version, deletions)));
+        }
+        // Whatever comes within this time is handled together.
+        tokio::time::sleep(report / 100).await;
+    }
+}
+
+/// Sees one write through: committed for certain, or certainly to be redone.
+async fn carry(node: Arc<Node>, version: u64, commit: Commit) {
+    let pause = node.settings.state_timeout() / 4;
+    loop {
+        let result = node.writer.commit(commit.conditions.clone(), commit.writes.clone()).await;
+        match result {
+            Ok(revision) => {
+                node.note_writes(&commit.writes, revision);
+                break settle(&node, version, commit.kind, true);
+            }
+            Err(StateError::Refused(_)) => tokio::time::sleep(pause).await,
+            Err(error) => {
+                debug!(%error, "a write is unsure or failed");
+                while node.fresh().await.is_err() {
+                    tokio::time::sleep(pause).await;
+                }
+                let stands = stands(&node, &commit.kind);
+                break settle(&node, version, commit.kind, stands);
+            }
+        }
+    }
+}
+
+/// Whether the fresh picture shows what the write was to bring about.
+fn stands(node: &Node, kind: &CommitKind) -> bool {
+    let picture = lock(&node.picture);
+    match kind {
+        CommitKind::Page { job, page, content } => picture
+            .pages
+            .get(job)
+            .and_then(|pages| pages.get(page))
+            .and_then(|entry| serde_json::from_str::<Page>(entry.raw.get()).ok())
+            .is_some_and(|held| held == *content),
+        CommitKind::End { job } => !picture.jobs.contains_key(job),
+        CommitKind::Types => false,
+    }
+}
+
+fn settle(node: &Node, version: u64, kind: CommitKind, committed: bool) {
+    let picture = lock(&node.picture);
+    let now = Instant::now();
+    node.with_leader(version, |leader| {
+        if committed {
+            leader.committed(&kind, &picture, now);
+        } else {
+            leader.not_committed(kind, &picture, now);
+        }
+    });
+    node.work.notify_one();
+}
+
+/// Sends orders to a worker's own address.
+async fn prompt(node: Arc<Node>, version: u64, id: MachineId, addr: String, orders: DirectOrders) {
+    let answer = node.workers.command(&addr, orders.clone()).await;
+    if let Err(error) = &answer {
+        debug!(machine = %id, %error, "direct orders");
+    }
+    node.take_direct(version, &id, &orders, answer.as_ref().ok());
+}
+
+async fn rent(node: Arc<Node>, version: u64, rental: Rental) {
+    loop {
+        let answer = match node.cloud.rent(rental.clone()).await {
+            Ok(machines) => Some(machines),
+            Err(CloudError::NoCapacity) => None,
+            Err(error) => {
+                // The same name again: if it was carried out, nothing is
+                // rented twice.
+                debug!(%error, request = %rental.request, "rental");
+                tokio::time::sleep(node.settings.report()).await;
+                continue;
+            }
+        };
+        node.with_leader(version, |leader| leader.rented(&rental, answer, Instant::now()));
+        return node.work.notify_one();
+    }
+}
+
+async fn give_back(node: Arc<Node>, version: u64, machines: Vec<MachineId>) {
+    match node.cloud.delete(machines.clone()).await {
+        Ok(()) => {
+            node.with_leader(version, |leader| leader.deleted(&machines, Instant::now()));
+        }
+        Err(error) => {
+            debug!(%error, "deletion");
+            tokio::time::sleep(node.settings.report()).await;
+            node.with_leader(version, |leader| leader.not_deleted(machines));
+        }
+    }
+    node.work.notify_one();
+}
+
+/// Reads the machine types and the machine list again and again.
+async fn cloud_duty(node: Arc<Node>, version: u64) {
+    // The list is as old as its lag; reading it more often than that tells
+    // little, and never more than a few times per report interval.
+    let every = Duration::from_secs_f64(node.settings.cluster.cloud.list_lag_s / 2.0)
+        .max(node.settings.report() * 3);
+    let mut types_due = Instant::now();
+    loop {
+        if types_due <= Instant::now() {
+            match node.cloud.machine_types().await {
+                Ok(types) => {
+                    node.with_leader(version, |leader| leader.on_types(types));
+                    types_due = Instant::now() + every * 10;
+                    node.work.notify_one();
+                }
+                Err(error) => {
+                    debug!(%error, "machine types");
+                    types_due = Instant::now() + every / 4;
+                }
+            }
+        }
+        let mut since = String::new();
+        loop {
+            match node.cloud.list(&since).await {
+                Ok(list) => {
+                    if let Some(last) = list.machines.last() {
+                        since = last.id.to_string();
+                    }
+                    let now = Instant::now();
+                    node.with_leader(version, |leader| leader.on_list(&list.machines, now));
+                    if !list.more || list.machines.is_empty() {
+                        break;
+                    }
+                }
+                Err(error) => {
+                    debug!(%error, "machine list");
+                    break;
+                }
+            }
+        }
+        let pause = every.min(types_due.saturating_duration_since(Instant::now()));
+        tokio::time::sleep(pause.max(node.settings.report() / 2)).await;
+    }
+}
--- /dev/null
+++ b/src/node/links.rs
@@ -0,0 +1,92 @@
+//! What this node tells the other controllers and learns from them.
+
+use tokio::time::Instant;
+use tracing::warn;
+
+use super::Node;
+use crate::{
+    protocol::{Heartbeat, JobState, Told, Write},
+    state::lock,
+    store::{self, End},
+};
+
+/// Cancellations that one heartbeat carries at most. A leader misses those of
+/// a lease of its own at the most, before an outage keeps all from writing.
+const TOLD_LIMIT: usize = 1024;
+
+impl Node {
+    pub fn heartbeat(&self, to: &str) -> Heartbeat {
+        let (mark, echo) = lock(&self.peers.promises).beat(to, Instant::now());
+        let (leads, state_ok) = (lock(&self.term).is_some(), self.state_ok());
+        let picture = lock(&self.picture);
+        // A picture that was never read knows nothing of what a former process
+        // of this member told.
+        let told = echo.filter(|_| picture.loaded).map(|(_, since)| {
+            let (jobs, all) = picture.cancelled_since(since, TOLD_LIMIT);
+            Told { since, all, jobs }
+        });
+        Heartbeat {
+            member: self.settings.member.clone(),
+            mark,
+            echo: echo.map(|(mark, _)| mark),
+            leads,
+            token: picture.token.1,
+            state_ok,
+            // Told to every member alike: counted once for whoever was told
+            // first, it never reached the leader that needed it.
+            strays: self.strayed(),
+            revision: picture.revision,
+            told,
+        }
+    }
+
+    /// Whether this node turned a report away lately.
+    fn strayed(&self) -> bool {
+        lock(&self.stray).is_some_and(|at| at.elapsed() < self.settings.report() * 2)
+    }
+
+    /// Whether workers report to another controller, but not to this one.
+    pub fn hears_less(&self) -> bool {
+        !self.strayed() && self.peers.any(self.settings.report() * 2, |heartbeat| heartbeat.strays)
+    }
+
+    /// Tells a leader through the state service that workers live, if no
+    /// heartbeat can: connections between the controllers may be refused while
+    /// the leader loses its workers.
+    pub async fn tell_stray(&self) {
+        let heard = self.peers.any(self.settings.leader_lease(), |heartbeat| heartbeat.leads);
+        if heard || !self.strayed() || !self.state_ok() {
+            return;
+        }
+        if let Ok(value) = store::value(&self.settings.member) {
+            let put = Write::Put { key: store::STRAY.into(), value, lease: None };
+            let _ = self.writer.commit(Vec::new(), vec![put]).await;
+        }
+    }
+
+    pub fn on_heartbeat(&self, heartbeat: Heartbeat) {
+        let mut term = lock(&self.term);
+        if term.as_ref().is_some_and(|t| t.token < heartbeat.token) {
+            warn!(member = %heartbeat.member, token = heartbeat.token, "another controller leads");
+            *term = None;
+            self.lead_changed.notify_one();
+        }
+        drop(term);
+        self.take_told(heartbeat.told.as_ref());
+        let revision = lock(&self.picture).revision;
+        self.peers.note(heartbeat, revision);
+    }
+
+    /// Takes in what another controller may have told users: those ends are
+    /// durable, though the state service may not let this one see them.
+    fn take_told(&self, told: Option<&Told>) {
+        let mut changes = Vec::new();
+        for (id, version, done) in told.into_iter().flat_map(|told| &told.jobs) {
+            let end = End { state: JobState::Cancelled, done: *done };
+            if let Ok(value) = store::value(&end) {
+                changes.extend(lock(&self.picture).put(&store::end_key(id), value, *version));
+            }
+        }
+        self.dispatch(&changes);
+    }
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,269 @@
+//! One controller: its picture of the records, what it answers users and
+//! workers, and the duties that keep it going.
+//!
+//! `users`, `workers` and `links` answer each of these; `records` keeps the
+//! picture; `leading` carries out what a leader's duty decides.
+
+mod leading;
+mod links;
+mod records;
+mod users;
+mod workers;
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use thiserror::Error;
+use tokio::{
+    net::TcpListener,
+    sync::{Notify, oneshot},
+    time::Instant,
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{
+    admission_limit::AdmissionLimit,
+    cloud::CloudApi,
+    controller::Leader,
+    election,
+    fleet::WorkerApi,
+    http, peers,
+    peers::Peers,
+    protocol::{JobStatus, MachineId, Order},
+    settings::Settings,
+    state::{Budget, StateApi, Writer, lock},
+    store::{Lead, Picture},
+};
+
+pub use leading::lead_duty;
+
+/// Why a request can't be answered now. All of these are worth a retry.
+#[derive(Clone, Copy, Debug, Error, PartialEq)]
+pub enum Trouble {
+    #[error("the state service can't be reached")]
+    State,
+    #[error("the machine types are not known yet")]
+    Types,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum UserReply {
+    Created(JobStatus),
+    Known(JobStatus),
+    Unknown,
+    Malformed(String),
+    Impossible(String),
+}
+
+#[derive(Debug, PartialEq)]
+pub enum ReportReply {
+    Orders { token: u64, orders: Vec<Order> },
+    Elsewhere(Option<String>),
+}
+
+/// The leader's part of a node, while it leads.
+struct Term {
+    version: u64,
+    token: u64,
+    /// When the last successful renewal was asked for.
+    renewed: Instant,
+    /// Built once the picture is as new as the leadership.
+    leader: Option<Leader>,
+    /// Workers sent to look for another leader, while ours is in doubt.
+    probed: HashMap<MachineId, Instant>,
+}
+
+pub struct Node {
+    pub settings: Arc<Settings>,
+    pub state: Arc<dyn StateApi>,
+    pub cloud: Arc<dyn CloudApi>,
+    pub workers: Arc<dyn WorkerApi>,
+    pub requests: Arc<Budget>,
+    pub admission: Arc<AdmissionLimit>,
+    pub picture: Mutex<Picture>,
+    pub peers: Peers,
+    /// Told whenever the leadership key or this node's term may have changed.
+    pub lead_changed: Notify,
+    /// Drawn at each start, so that a node knows its former self from itself.
+    pub incarnation: u64,
+    rng: Mutex<StdRng>,
+    writer: Arc<Writer>,
+    term: Mutex<Option<Term>>,
+    work: Notify,
+    readers: Mutex<Vec<oneshot::Sender<Result<(), Trouble>>>>,
+    read_wanted: Notify,
+    /// When the state service last answered, and whether it did last time.
+    state_seen: Mutex<(Instant, bool)>,
+    started: Instant,
+    /// Workers answered while nobody can lead, and since when.
+    cared: Mutex<HashMap<MachineId, Instant>>,
+    /// When a report was last turned away or answered in a leader's stead.
+    stray: Mutex<Option<Instant>>,
+    /// When the watch last brought that another node turned reports away.
+    stray_told: Mutex<Option<Instant>>,
+}
+
+impl Node {
+    pub fn new(
+        settings: Settings,
+        state: Arc<dyn StateApi>,
+        cloud: Arc<dyn CloudApi>,
+        workers: Arc<dyn WorkerApi>,
+        seed: u64,
+    ) -> Arc<Self> {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let settings = Arc::new(settings);
+        let requests = Arc::new(Budget::new(settings.share(settings.cluster.state.rps, false)));
+        let writer = Arc::new(Writer::new(state.clone(), &settings, requests.clone()));
+        // Users wait a second at ease; half of a report interval is a ratio
+        // to how time runs here.
+        let target = settings.report() / 2;
+        let ceiling = settings.cluster.quota.fd_limit as usize / 4;
+        let incarnation = rng.random();
+        Arc::new(Self {
+            state,
+            cloud,
+            workers,
+            requests,
+            admission: AdmissionLimit::new(target, ceiling),
+            picture: Mutex::default(),
+            peers: Peers::new(&settings, incarnation),
+            settings,
+            lead_changed: Notify::new(),
+            incarnation,
+            rng: Mutex::new(rng),
+            writer,
+            term: Mutex::new(None),
+            work: Notify::new(),
+            readers: Mutex::default(),
+            read_wanted: Notify::new(),
+            state_seen: Mutex::new((Instant::now(), false)),
+            started: Instant::now(),
+            cared: Mutex::default(),
+            stray: Mutex::new(None),
+            stray_told: Mutex::new(None),
+        })
+    }
+
+    /// Runs the node on its two listeners until told to stop.
+    pub async fn run(
+        self: Arc<Self>,
+        public: TcpListener,
+        internal: TcpListener,
+        stop: CancellationToken,
+    ) {
+        let duties = self.spawn_duties(&stop);
+        duties.spawn(http::server::serve(self.clone(), public, stop.clone()));
+        duties.spawn(peers::listen(self.clone(), internal, stop.clone()));
+        for member in &self.settings.members {
+            duties.spawn(peers::beat(self.clone(), member.clone(), stop.clone()));
+        }
+        stop.cancelled().await;
+        duties.close();
+        duties.wait().await;
+    }
+
+    /// The duties that need no listener.
+    pub fn spawn_duties(self: &Arc<Self>, stop: &CancellationToken) -> TaskTracker {
+        let duties = TaskTracker::new();
+        duties.spawn(self.writer.clone().run(stop.clone()));
+        duties.spawn(until(stop.clone(), records::watch_duty(self.clone())));
+        duties.spawn(until(stop.clone(), records::read_duty(self.clone())));
+        duties.spawn(election::run(self.clone(), stop.clone()));
+        duties
+    }
+
+    /// Healthy unless it never saw the records, or alone lost the state
+    /// service: in an outage that all share, other nodes are no better.
+    pub fn healthy(&self) -> bool {
+        if !lock(&self.picture).loaded {
+            return false;
+        }
+        self.state_ok()
+            || !self.peers.any(self.settings.leader_lease(), |heartbeat| heartbeat.state_ok)
+    }
+
+    fn state_ok(&self) -> bool {
+        let (at, ok) = *lock(&self.state_seen);
+        ok && at.elapsed() < self.settings.leader_lease()
+    }
+
+    // Leadership.
+
+    /// A random share of `most`, so that nodes don't act at the same instant.
+    pub fn jitter(&self, most: Duration) -> Duration {
+        most.mul_f64(lock(&self.rng).random_range(0.0..1.0))
+    }
+
+    pub fn is_me(&self, lead: &Lead) -> bool {
+        lead.member == self.settings.member && lead.incarnation == self.incarnation
+    }
+
+    pub fn begin_term(&self, version: u64, token: u64) {
+        lock(&self.peers.promises).begin_term();
+        *lock(&self.term) = Some(Term {
+            version,
+            token,
+            renewed: Instant::now(),
+            leader: None,
+            probed: HashMap::new(),
+        });
+        let limits = &self.settings.cluster.state;
+        self.requests.set_rate(self.settings.share(limits.rps, true));
+        self.writer.set_write_rate(self.settings.share(limits.write_rps, true));
+    }
+
+    pub fn end_term(&self, version: u64) {
+        let mut term = lock(&self.term);
+        if term.as_ref().is_some_and(|t| t.version == version) {
+            *term = None;
+        }
+        let limits = &self.settings.cluster.state;
+        self.requests.set_rate(self.settings.share(limits.rps, false));
+        self.writer.set_write_rate(self.settings.share(limits.write_rps, false));
+    }
+
+    pub fn renewed(&self, version: u64, asked: Instant) {
+        if let Some(term) = lock(&self.term).as_mut().filter(|t| t.version == version) {
+            term.renewed = asked;
+            term.probed.clear();
+        }
+    }
+
+    /// Whether this term still stands, as far as this node knows.
+    pub fn leads(&self, version: u64) -> bool {
+        let held = lock(&self.picture).lead.as_ref().is_some_and(|(v, _)| *v == version);
+        held && lock(&self.term).as_ref().is_some_and(|t| t.version == version)
+    }
+
+    /// Whether the workers seem alive, but not to this node.
+    pub fn deserted(&self, version: u64) -> bool {
+        let silent =
+            self.with_leader(version, |leader| leader.deserted(Instant::now())).unwrap_or(false);
+        let lately = self.settings.report() * 2;
+        let told = lock(&self.stray_told).is_some_and(|at| at.elapsed() < lately);
+        silent && (told || self.peers.any(lately, |heartbeat| heartbeat.strays))
+    }
+
+    fn with_leader<T>(&self, version: u64, work: impl FnOnce(&mut Leader) -> T) -> Option<T> {
+        let mut term = lock(&self.term);
+        let held = term.as_mut().filter(|t| t.version == version)?;
+        held.leader.as_mut().map(work)
+    }
+
+    fn in_doubt(&self) -> bool {
+        let ttl = self.settings.leader_lease();
+        lock(&self.term).as_ref().is_none_or(|t| t.renewed.elapsed() > ttl)
+    }
+}
+
+async fn until(stop: CancellationToken, duty: impl Future<Output = ()>) {
+    tokio::select! {
+        () = duty => {}
+        () = stop.cancelled() => {}
+    }
+}
--- /dev/null
+++ b/src/node/workers.rs
@@ -0,0 +1,143 @@
+//! Workers' reports: answered as the leader, or in its stead while nobody can
+//! lead, and the answers to direct orders.
+
+use tokio::time::Instant;
+use tracing::warn;
+
+use super::{Node, ReportReply, Term};
+use crate::{
+    fleet::parse_task,
+    protocol::{DirectOrders, JobState, MachineId, Op, Order, Report, TaskReport, TaskState},
+    state::lock,
+};
+
+impl Node {
+    pub fn report(&self, report: &Report) -> ReportReply {
+        let reply = self.report_as_leader(report);
+        match reply {
+            Some(reply) => {
+                self.work.notify_one();
+                reply
+            }
+            None => {
+                *lock(&self.stray) = Some(Instant::now());
+                if let Some(reply) = self.take_care(report, Instant::now()) {
+                    return reply;
+                }
+                let picture = lock(&self.picture);
+                let lead = picture.lead.as_ref().map(|(_, lead)| lead.member.clone());
+                ReportReply::Elsewhere(lead.filter(|m| *m != self.settings.member))
+            }
+        }
+    }
+
+    fn report_as_leader(&self, report: &Report) -> Option<ReportReply> {
+        let now = Instant::now();
+        let mut term = lock(&self.term);
+        let held = term.as_mut()?;
+        let in_doubt = now.saturating_duration_since(held.renewed) > self.settings.leader_lease();
+        let leader = held.leader.as_mut()?;
+        let mut away = false;
+        if in_doubt {
+            // Another leader may be there by now, and a worker that stays
+            // with us would never learn of it. It is sent to look once in a
+            // while; if nobody else leads, it is back well within its lease.
+            let every = self.settings.worker_lease() / 2;
+            let probed = held.probed.entry(report.machine.clone()).or_insert(held.renewed);
+            if now.saturating_duration_since(*probed) > every {
+                *probed = now;
+                away = true;
+            }
+        }
+        away |= !self.knows_enough(now);
+        // All are sent away in one second, and a leader that seemed to have
+        // lost them would give way, in an outage to nobody.
+        let heard = if away {
+            leader.send_away(report, now).map(|()| ReportReply::Elsewhere(None))
+        } else {
+            let token = held.token;
+            leader.on_report(report, now).map(|orders| ReportReply::Orders { token, orders })
+        };
+        Some(heard.unwrap_or_else(|_| {
+            self.depose(&mut term);
+            ReportReply::Elsewhere(None)
+        }))
+    }
+
+    /// Answers a worker while nobody can lead, see `caretaking.rs`.
+    fn take_care(&self, report: &Report, now: Instant) -> Option<ReportReply> {
+        let limit = self.settings.caretaking_limit();
+        let until = match lock(&self.peers.horizon).last_read() {
+            Some(at) => at + limit,
+            // This process knows nothing of the time before it: half of the
+            // limit is left for that.
+            None => self.started + limit / 2,
+        };
+        let mut cared = lock(&self.cared);
+        let may = !self.state_ok()
+            && now < until
+            && report.token > 0
+            && lock(&self.term).is_none()
+            && lock(&self.peers.promises).free(now);
+        if !may {
+            cared.clear();
+            return None;
+        }
+        // A leader may be there that only this node can't hear, so workers
+        // are sent to look for it once in a while.
+        let since = *cared.entry(report.machine.clone()).or_insert(now);
+        if now > since + self.settings.worker_lease() / 2 {
+            cared.remove(&report.machine);
+            return None;
+        }
+        // A job whose end is known is stopped: that is right under any token.
+        let picture = lock(&self.picture);
+        let ended = |t: &&TaskReport| {
+            let job = parse_task(&t.task).and_then(|(job, _)| picture.ends.get(&job).copied());
+            t.state != TaskState::Exited && job.is_some_and(|e| e.state == JobState::Cancelled)
+        };
+        let stop = |t: &TaskReport| Order {
+            op: Op::Stop,
+            task: t.task.clone(),
+            attempt: t.attempt,
+            grace_s: Some(0.0),
+        };
+        let orders = report.tasks.iter().filter(ended).map(stop).collect();
+        Some(ReportReply::Orders { token: report.token, orders })
+    }
+
+    /// Whether a leader may renew workers' leases: not if another controller
+    /// may have told users of cancellations that this one knows nothing of and
+    /// that could then outlive `cancel_s`. While its own lease lasts a leader
+    /// always may, whatever the settings allow.
+    fn knows_enough(&self, now: Instant) -> bool {
+        let limit = self.settings.caretaking_limit().max(self.settings.leader_lease());
+        let members = self.settings.members.iter().map(|m| m.member.as_str());
+        let known = lock(&self.peers.horizon).of(members);
+        self.settings.members.is_empty() || known.is_some_and(|at| now < at + limit)
+    }
+
+    fn depose(&self, term: &mut Option<Term>) {
+        if let Some(held) = term.take() {
+            warn!(token = held.token, "a worker has seen a higher token");
+            self.lead_changed.notify_one();
+        }
+    }
+
+    /// Takes the answer to direct orders, or that none came.
+    pub(super) fn take_direct(
+        &self,
+        version: u64,
+        id: &MachineId,
+        orders: &DirectOrders,
+        answer: Option<&Report>,
+    ) {
+        let mut term = lock(&self.term);
+        let leader = term.as_mut().filter(|t| t.version == version).and_then(|t| t.leader.as_mut());
+        let result = leader.map(|l| l.on_direct(id, orders, answer, Instant::now()));
+        if result.is_some_and(|r| r.is_err()) {
+            self.depose(&mut term);
+        }
+        self.work.notify_one();
+    }
+}
--- /dev/null
+++ b/src/settings/tests.rs
@@ -0,0 +1,98 @@
+use super::*;
+
+const GOOD: &str = r#"
+member = "m-0"
+zone = "a"
+public_addr = "127.0.0.1:1"
+internal_addr = "127.0.0.1:2"
+unheard_of = 1
+[services]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[cluster]
+size = 3
+zones = ["a"]
+[cluster.workers]
+report_s = 1.0
+lease_s = 11.0
+gang_wait_s = 40.0
+gang_peer_s = 8.0
+cancel_s = 36.0
+[cluster.state]
+rps = 150.0
+write_rps = 60.0
+value_kb = 8.0
+txn_ops = 24
+[cluster.cloud]
+rps = 8.0
+list_lag_s = 3.0
+[cluster.quota]
+core_share = 0.08
+mem_mb = 40.0
+fd_limit = 600
+"#;
+
+#[test]
+fn each_mistake_is_named_in_one_line() {
+    assert!(Settings::parse("f", GOOD).is_ok());
+    let mistakes = [
+        ("member = \"m-0\"", "", "member"),
+        ("member = \"m-0\"", "member = \"\"", "member"),
+        ("\"127.0.0.1:1\"", "\"nowhere\"", "public_addr"),
+        ("cloud = \"127.0.0.1:3\"", "", "services"),
+        ("size = 3", "size = 0", "cluster.size"),
+        ("size = 3", "size = \"three\"", "cluster.size"),
+        ("zones = [\"a\"]", "zones = []", "cluster.zones"),
+        ("report_s = 1.0", "report_s = 0.0", "cluster.workers.report_s"),
+        ("lease_s = 11.0", "lease_s = -1.0", "cluster.workers.lease_s"),
+        ("txn_ops = 24", "txn_ops = 1", "cluster.state.txn_ops"),
+        ("rps = 150.0", "rps = nan", "cluster.state.rps"),
+        ("list_lag_s = 3.0", "list_lag_s = -3.0", "cluster.cloud.list_lag_s"),
+        ("fd_limit = 600", "fd_limit = 3", "cluster.quota.fd_limit"),
+        ("[services]", "[services", "syntax"),
+    ];
+    for (from, to, field) in mistakes {
+        let text = GOOD.replacen(from, to, 1);
+        let error = Settings::parse("f", &text).expect_err(field);
+        assert!(error.field.starts_with(field) || error.reason.contains(field), "{error}");
+        assert_eq!(error.to_string().lines().count(), 1, "{error}");
+    }
+}
+
+#[test]
+fn operators_mistakes_are_named_too() {
+    let good = Operator::parse("o", "[scheduler]\nround_s = 5\n").expect("valid");
+    assert_eq!(good.round_s, 5.0);
+    for (text, field) in [
+        ("[scheduler]\nround = 5\n", "scheduler.round"),
+        ("[scheduler]\nround_s = soon\n", "scheduler.round_s"),
+        ("[scheduler]\nround_s = 0\n", "scheduler.round_s"),
+        ("[fleet]\nidle_boots = -1\n", "fleet.idle_boots"),
+        ("[other]\nround_s = 5\n", "other.round_s"),
+    ] {
+        assert_eq!(Operator::parse("o", text).expect_err(field).field, field);
+    }
+}
+
+#[test]
+fn a_budget_too_small_for_the_site_is_named() {
+    let warn = |from: &str, to: &str| {
+        let text = GOOD.replacen("size = 3", "size = 1", 1).replacen(from, to, 1);
+        Settings::parse("f", &text).expect("valid").warnings().join("; ")
+    };
+    assert_eq!(warn("", ""), "");
+    assert!(warn("\nrps = 150.0", "\nrps = 2.0").starts_with("cluster.state.rps"));
+    assert!(warn("write_rps = 60.0", "write_rps = 0.5").starts_with("cluster.state.write_rps"));
+    // Many controllers live on the same budget.
+    let many = warn("size = 1", "size = 90");
+    assert!(many.contains("cluster.state.rps") && many.contains("members"), "{many}");
+    assert!(warn("zone = \"a\"", "zone = \"z\"").starts_with("zone"));
+    assert!(warn("\nrps = 8.0", "\nrps = 0.5").starts_with("cluster.cloud.rps"));
+    assert!(warn("fd_limit = 600", "fd_limit = 64").starts_with("cluster.quota.fd_limit"));
+}
+
+#[test]
+fn zero_means_no_guarantee() {
+    let team = Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 };
+    assert!(!team.guarantees(0.0, 0.0));
+}
