--- a/src/caretaking/tests.rs
+++ b/src/caretaking/tests.rs
@@ -64,3 +64,36 @@
     successor.heard_from("b", mark, None, echo.map(|(mark, _)| mark), at(6));
     assert_eq!(successor.alone_since(at(6)), None);
 }
+
+#[test]
+fn the_horizon_is_that_of_the_member_least_known() {
+    let now = Instant::now();
+    let at = |s: u64| now + Duration::from_secs(s);
+    let of = |horizon: &Horizon| horizon.of(["b", "c"].into_iter());
+    let mut horizon = Horizon::default();
+    assert_eq!(of(&horizon), None, "nothing was read yet");
+    horizon.read(at(5));
+    assert_eq!(of(&horizon), Some(at(5)), "a reading counts for all");
+    horizon.told_all("b", at(9));
+    assert_eq!(of(&horizon), Some(at(5)), "c may have told more");
+    horizon.told_all("c", at(7));
+    assert_eq!(of(&horizon), Some(at(7)));
+    horizon.told_all("b", at(8));
+    horizon.read(at(6));
+    assert_eq!(of(&horizon), Some(at(7)), "what comes late takes nothing back");
+}
+
+#[test]
+fn a_late_echo_promises_nothing_but_still_dates_what_was_told() {
+    let (mut leader, mut other, now) = pair();
+    let at = |s: u64| now + Duration::from_secs(s);
+    let (mark, echo) = leader.beat("b", at(1));
+    other.heard_from("a", mark, Some(7), echo.map(|(mark, _)| mark), at(2));
+    let (mark, echo) = other.beat("a", at(2));
+    let (echo, since) = echo.expect("heard a leader");
+    assert_eq!(since, 7, "as the leader's heartbeat had it");
+    assert_eq!(leader.heard_from("b", mark, None, Some(echo), at(9)), Some(at(1)));
+    assert_eq!(leader.alone_since(at(9)), None);
+    // One of a former process is not recognised.
+    assert_eq!(leader.heard_from("b", mark, None, Some((9, echo.1)), at(9)), None);
+}
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -12,7 +12,7 @@
 
 /// Cancellations that one heartbeat carries at most. A leader misses those of
 /// a lease of its own at the most, before an outage keeps all from writing.
-const TOLD_LIMIT: usize = 1024;
+pub const TOLD_LIMIT: usize = 1024;
 
 impl Node {
     pub fn heartbeat(&self, to: &str) -> Heartbeat {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -40,6 +40,7 @@
 };
 
 pub use leading::lead_duty;
+pub use links::TOLD_LIMIT;
 
 /// Why a request can't be answered now. All of these are worth a retry.
 #[derive(Clone, Copy, Debug, Error, PartialEq)]
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -171,3 +171,6 @@
         () = stop.cancelled() => {}
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/store.rs
+++ b/src/store.rs
@@ -336,3 +336,6 @@
         Some(JobStatus { id: id.clone(), state, done, running })
     }
 }
+
+#[cfg(test)]
+mod tests;
