--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -76,6 +76,8 @@
     leader: Option<Leader>,
     /// Workers sent to look for another leader, while ours is in doubt.
     probed: HashMap<MachineId, Instant>,
+    /// Leases are not renewed, since cancellations may be unknown.
+    unknowing: bool,
 }
 
 pub struct Node {
@@ -212,6 +214,7 @@
             renewed: Instant::now(),
             leader: None,
             probed: HashMap::new(),
+            unknowing: false,
         });
         let limits = &self.settings.cluster.state;
         self.requests.set_rate(self.settings.share(limits.rps, true));
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -49,7 +49,12 @@
                 away = true;
             }
         }
-        away |= !self.knows_enough(now);
+        let unknowing = !self.knows_enough(now);
+        if unknowing && !held.unknowing {
+            warn!("leases are not renewed: cancellations may be unknown for too long");
+        }
+        held.unknowing = unknowing;
+        away |= unknowing;
         // All are sent away in one second, and a leader that seemed to have
         // lost them would give way, in an outage to nobody.
         let heard = if away {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -307,6 +307,14 @@
                  and each machine takes one of its leader"
             ));
         }
+        let workers = &self.cluster.workers;
+        if self.caretaking_limit() < self.leader_lease() {
+            found.push(format!(
+                "cluster.workers.cancel_s: with a lease of {} s, {} s leave a leader that is cut off \
+                 no time to learn of cancellations: some may be stopped late",
+                workers.lease_s, workers.cancel_s
+            ));
+        }
         if self.members.len() + 1 != self.cluster.size as usize {
             found.push(format!(
                 "members: {} others are listed for {} controllers",
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -87,6 +87,7 @@
     let many = warn("size = 1", "size = 90");
     assert!(many.contains("cluster.state.rps") && many.contains("members"), "{many}");
     assert!(warn("zone = \"a\"", "zone = \"z\"").starts_with("zone"));
+    assert!(warn("cancel_s = 36.0", "cancel_s = 12.0").starts_with("cluster.workers.cancel_s"));
     assert!(warn("\nrps = 8.0", "\nrps = 0.5").starts_with("cluster.cloud.rps"));
     assert!(warn("fd_limit = 600", "fd_limit = 64").starts_with("cluster.quota.fd_limit"));
 }
