--- a/src/controller/renting.rs
+++ b/src/controller/renting.rs
@@ -23,13 +23,16 @@
         // A machine takes tasks only from its second report on: where boots
         // are short it must not go before it could be of use.
         let least = self.settings.report() * 3;
+        // Idleness counts from the end of an outage: nothing could be placed
+        // within it, and the work that waited is placed next.
+        let back = self.unpaused.unwrap_or(now);
         let mut idle: Vec<(bool, Instant, MachineId)> = self
             .fleet
             .machines
             .iter()
             .filter(|(_, m)| m.bound.is_empty() && !m.deleting && m.heard())
             .filter_map(|(id, m)| {
-                let since = m.idle_since?;
+                let since = m.idle_since?.max(back);
                 let wait = boot(&m.machine_type) * self.settings.operator.idle_boots;
                 let wait = Duration::from_secs_f64(wait).max(least);
                 (now > since + wait).then(|| (!m.spot, since, id.clone()))
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -832,6 +832,31 @@
     assert!(duty.leader.take_rentals().is_empty());
 }
 
+#[tokio::test(start_paused = true)]
+async fn machines_that_idled_through_an_outage_take_the_work_that_waited() {
+    // They were returned in the first second after it, and others rented.
+    let mut duty = Duty::new(5);
+    duty.leader = Leader::new(Arc::new(settings("m-0")), 1, 5, &duty.picture, duty.now);
+    for machine in ["n-1", "n-2"] {
+        duty.report(machine, 1, &[]);
+    }
+    duty.leader.tick(duty.now, true, duty.alone);
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 2, "Gpus": 8.0}));
+    for _ in 0..50 {
+        duty.now += Duration::from_secs(1);
+        for machine in ["n-1", "n-2"] {
+            duty.report(machine, 1, &[]);
+        }
+        duty.leader.tick(duty.now, true, duty.alone);
+    }
+    // The first look after it is one over all machines.
+    duty.pass(1.0);
+    duty.settle();
+    assert!(duty.leader.take_deletions().is_empty());
+    assert_eq!(duty.bound("j-000001").len(), 2);
+    assert!(duty.leader.take_rentals().is_empty());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_machine_that_boots_fast_is_not_returned_before_it_takes_tasks() {
     // A quarter of a short boot was less than the time between two reports:
