Dependent jobs: the graph, submission, waiting and cancellation; limits follow state.next

A job may name others that have to be done first. Its state is derived from the end records: it waits until all are done, and it is cancelled with any that is. Since it can't start before, it never has a task when that happens. Writes keep within the smaller of the present and the coming limits; the page layout stays that of the version in production.

--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -42,7 +42,9 @@
         let mut commits = Vec::new();
         let lead = Condition { key: store::LEAD.into(), version: self.lead_version };
         for id in std::mem::take(&mut self.ending) {
-            if let Some(commit) = self.end_commit(&id, &lead, picture) {
+            if picture.dependencies.is_cancelled(&id) && !self.may_cancel(&id) {
+                self.ending.insert(id);
+            } else if let Some(commit) = self.end_commit(&id, &lead, picture) {
                 commits.push(commit);
             }
         }
@@ -64,8 +66,19 @@
         commits
     }
 
+    /// Whether the end of a job that is cancelled with another one may be
+    /// written now. Its users are told without that record, so thousands of
+    /// these must not hold up other writes.
+    fn may_cancel(&mut self, id: &JobId) -> bool {
+        let room = self.cancelling.len() < self.settings.state_limits().transaction_writes;
+        if room {
+            self.cancelling.insert(id.clone());
+        }
+        room
+    }
+
     fn writes_under_way(&self) -> usize {
-        self.settings.cluster.state.txn_ops * IN_FLIGHT
+        self.settings.state_limits().transaction_writes * IN_FLIGHT
     }
 
     /// The pages that should be written next.
@@ -82,7 +95,7 @@
             .map(|key| {
                 let job = self.jobs.get(&key.0);
                 let places = job.is_some_and(|j| j.awaits_record(key.1, size));
-                let rank = job.map(|j| (std::cmp::Reverse(j.spec.priority), j.arrival));
+                let rank = job.map(|j| (std::cmp::Reverse(j.priority), j.arrival));
                 (!places, rank, key)
             })
             .collect();
@@ -140,13 +153,21 @@
         job.ending = true;
         let mut conditions = vec![lead.clone()];
         let mut writes = Vec::new();
-        if job.ended.is_none() {
+        let end = if picture.ends.contains_key(id) {
+            None
+        } else if picture.dependencies.is_cancelled(id) {
+            Some(End { state: JobState::Cancelled, done: 0 })
+        } else if job.ended.is_none() {
+            Some(End { state: JobState::Done, done: job.spec.tasks })
+        } else {
+            None
+        };
+        if let Some(end) = end {
             let key = store::end_key(id);
-            let end = End { state: JobState::Done, done: job.spec.tasks };
             conditions.push(Condition { key: key.clone(), version: 0 });
             writes.push(Write::Put { key, value: store::value(&end).ok()?, lease: None });
         }
-        let limit = self.settings.cluster.state.txn_ops;
+        let limit = self.settings.state_limits().transaction_writes;
         let pages = picture.pages.get(id);
         for page in pages.into_iter().flat_map(|p| p.keys()) {
             if writes.len() + 1 >= limit {
@@ -181,6 +202,7 @@
                 }
             }
             CommitKind::End { job: id } => {
+                self.cancelling.remove(id);
                 let Some(job) = self.jobs.get_mut(id) else { return };
                 job.ending = false;
                 if picture.ends.contains_key(id) {
@@ -210,6 +232,7 @@
                 self.dirty.insert((job, page));
             }
             CommitKind::End { job: id } => {
+                self.cancelling.remove(&id);
                 if let Some(job) = self.jobs.get_mut(&id) {
                     job.ending = false;
                     // Cancelled in the meantime: the first end wins.
--- a/src/controller/deciding.rs
+++ b/src/controller/deciding.rs
@@ -40,7 +40,7 @@
             .order
             .keys()
             .filter_map(|(_, id)| self.jobs.get(id))
-            .filter(|job| job.ended.is_none() && job.remaining() > 0)
+            .filter(|job| job.is_active() && job.remaining() > 0)
             .map(|job| self.job_view(job, &index, now))
             .collect();
         let snapshot = Snapshot {
@@ -163,6 +163,7 @@
             id: job.spec.id.clone(),
             spec: job.spec.clone(),
             arrival: job.arrival,
+            priority: job.priority,
             pending: job.pending(limit),
             remaining: job.remaining(),
             bound,
@@ -195,6 +196,10 @@
             if job.bound.contains_key(&task) || job.done.contains(&task) {
                 continue;
             }
+            // Nor is any task of a job that another one still holds back.
+            if !job.is_active() {
+                continue;
+            }
             let Some(machine) = self.fleet.machines.get_mut(&machine_id) else { continue };
             let Some(zone) = self.settings.zone_index(&machine.zone) else { continue };
             // All tasks of a gang's attempt share its number; elsewhere a
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     fleet::{Fleet, Machine, TaskKey},
-    protocol::{JobId, JobSpec, MachineId, MachineType, Rental, Shape},
+    protocol::{JobId, JobSpec, MachineId, MachineType, Priority, Rental, Shape},
     scheduler::TeamUse,
     settings::Settings,
     store::{Change, Page, Picture},
@@ -78,6 +78,10 @@
     /// When this leader came to know it.
     known_since: Instant,
     ended: Option<Instant>,
+    /// A job that it depends on is not done: it takes part in nothing.
+    waits_for_others: bool,
+    /// The highest priority among the job and those that depend on it.
+    priority: Priority,
     bound: BTreeMap<u32, Binding>,
     done: HashSet<u32>,
     /// No task below this one is pending, apart from `returned`.
@@ -97,10 +101,12 @@
 impl Job {
     fn new(spec: Arc<JobSpec>, arrival: u64, now: Instant) -> Self {
         Self {
+            priority: spec.priority,
             spec,
             arrival,
             known_since: now,
             ended: None,
+            waits_for_others: false,
             bound: BTreeMap::new(),
             done: HashSet::new(),
             next: 0,
@@ -115,6 +121,11 @@
         }
     }
 
+    /// Whether it may have tasks, now or later, without waiting for other jobs.
+    fn is_active(&self) -> bool {
+        self.ended.is_none() && !self.waits_for_others
+    }
+
     fn remaining(&self) -> u32 {
         self.spec.tasks - self.done.len() as u32
     }
@@ -176,6 +187,8 @@
     dirty: BTreeSet<(JobId, u32)>,
     inflight: BTreeSet<(JobId, u32)>,
     ending: BTreeSet<JobId>,
+    /// Jobs cancelled with another one whose own end records are under way.
+    cancelling: BTreeSet<JobId>,
     /// Kinds the cloud refused: not asked again before then.
     refused: HashMap<(usize, u8, bool), Instant>,
     rentals: Vec<Rental>,
@@ -221,6 +234,7 @@
             dirty: BTreeSet::new(),
             inflight: BTreeSet::new(),
             ending: BTreeSet::new(),
+            cancelling: BTreeSet::new(),
             refused: HashMap::new(),
             rentals: Vec::new(),
             renting: Vec::new(),
@@ -250,10 +264,15 @@
     fn add_job(&mut self, id: &JobId, picture: &Picture, now: Instant) {
         let Some(entry) = picture.jobs.get(id) else { return };
         if self.jobs.contains_key(id) {
+            // All records were read again: what it waits for may be over.
+            self.follow_dependencies(id, picture, now);
             return;
         }
         let mut job = Job::new(entry.spec.clone(), entry.version, now);
-        job.ended = picture.ends.contains_key(id).then_some(now);
+        let ended = picture.ends.contains_key(id) || picture.dependencies.is_cancelled(id);
+        job.ended = ended.then_some(now);
+        job.waits_for_others = picture.dependencies.waits(id);
+        job.priority = picture.dependencies.effective_priority(id).unwrap_or(job.priority);
         for (number, entry) in picture.pages.get(id).into_iter().flatten() {
             let page: Page = match serde_json::from_str(entry.raw.get()) {
                 Ok(page) => page,
@@ -306,6 +325,9 @@
         for change in changes {
             match change {
                 Change::Arrived(id) => self.add_job(id, picture, now),
+                Change::Ready(id) | Change::Reranked(id) => {
+                    self.follow_dependencies(id, picture, now);
+                }
                 Change::Ended(id) => {
                     if let Some(job) = self.jobs.get_mut(id) {
                         job.ended.get_or_insert(now);
@@ -320,6 +342,21 @@
         }
     }
 
+    /// Takes over what the picture says of a job's dependencies and dependants.
+    fn follow_dependencies(&mut self, id: &JobId, picture: &Picture, now: Instant) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.priority = picture.dependencies.effective_priority(id).unwrap_or(job.priority);
+        let waits = picture.dependencies.waits(id);
+        if job.waits_for_others && !waits {
+            info!(job = %id, "all that it depends on is done");
+            // Waits are counted from here.
+            job.known_since = now;
+            self.changed = true;
+            self.round_due = true;
+        }
+        job.waits_for_others = waits;
+    }
+
     pub fn on_types(&mut self, types: Vec<MachineType>) {
         // Prices move all the time; they are no reason to write.
         let shape = |types: &[MachineType]| -> Vec<MachineType> {
@@ -372,7 +409,7 @@
         }
         // While a job waits, each round looks again: a boot may be overdue by
         // then, or the cloud have room again.
-        let waiting = |j: &Job| j.ended.is_none() && j.bound.is_empty();
+        let waiting = |j: &Job| j.is_active() && j.bound.is_empty();
         let round = now >= self.next_round && (self.round_due || self.jobs.values().any(waiting));
         if self.changed || round {
             self.changed = false;
@@ -510,10 +547,10 @@
                 }
             }
         }
-        let waiting =
-            self.jobs.values().filter(|j| j.bound.is_empty() && j.ended.is_none()).count();
+        let waiting = self.jobs.values().filter(|j| j.bound.is_empty() && j.is_active()).count();
+        let dependent = self.jobs.values().filter(|j| j.waits_for_others).count();
         format!(
-            "jobs {} (waiting {waiting}), GPUs {} of {} ordinary ({misplaced} by work for spot) and {} of {} spot, machines {} (booting {booting}, ready {ready}, idle {idle}), {:?}",
+            "jobs {} (waiting {waiting}, for others {dependent}), GPUs {} of {} ordinary ({misplaced} by work for spot) and {} of {} spot, machines {} (booting {booting}, ready {ready}, idle {idle}), {:?}",
             self.jobs.len(),
             used[1],
             held[1],
--- a/src/controller/renting.rs
+++ b/src/controller/renting.rs
@@ -63,7 +63,7 @@
     pub(super) fn spare(&self) -> (usize, f64) {
         let (mut whole, mut partial) = (0.0, 0.0);
         for job in self.jobs.values() {
-            if job.spec.spot || self.wait_aim(&job.spec).is_none() {
+            if job.waits_for_others || job.spec.spot || self.wait_aim(&job.spec).is_none() {
                 continue;
             }
             let need = Resources::of_task(&job.spec);
@@ -100,7 +100,7 @@
         let aims = &self.settings.cluster.objectives;
         self.jobs
             .values()
-            .filter(|job| job.spec.spot && job.ended.is_none())
+            .filter(|job| job.spec.spot && job.is_active())
             .filter(|job| aims.iter().any(|o| o.class.as_ref() == Some(&job.spec.class)))
             .map(|job| {
                 let need = Resources::of_task(&job.spec);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod caretaking;
 pub mod cloud;
 pub mod controller;
+pub mod dependencies;
 pub mod election;
 pub mod fleet;
 pub mod http;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -49,6 +49,8 @@
     State,
     #[error("the machine types are not known yet")]
     Types,
+    #[error("the record of a job can't be read")]
+    Record,
 }
 
 #[derive(Debug, PartialEq)]
@@ -120,7 +122,8 @@
     ) -> Arc<Self> {
         let mut rng = StdRng::seed_from_u64(seed);
         let settings = Arc::new(settings);
-        let requests = Arc::new(Budget::new(settings.share(settings.cluster.state.rps, false)));
+        let requests =
+            Arc::new(Budget::new(settings.share(settings.state_limits().requests_per_s, false)));
         let writer = Arc::new(Writer::new(state.clone(), &settings, requests.clone()));
         // Users wait a second at ease; half of a report interval is a ratio
         // to how time runs here.
@@ -216,9 +219,9 @@
             probed: HashMap::new(),
             unknowing: false,
         });
-        let limits = &self.settings.cluster.state;
-        self.requests.set_rate(self.settings.share(limits.rps, true));
-        self.writer.set_write_rate(self.settings.share(limits.write_rps, true));
+        let limits = self.settings.state_limits();
+        self.requests.set_rate(self.settings.share(limits.requests_per_s, true));
+        self.writer.set_write_rate(self.settings.share(limits.writes_per_s, true));
     }
 
     pub fn end_term(&self, version: u64) {
@@ -226,9 +229,9 @@
         if term.as_ref().is_some_and(|t| t.version == version) {
             *term = None;
         }
-        let limits = &self.settings.cluster.state;
-        self.requests.set_rate(self.settings.share(limits.rps, false));
-        self.writer.set_write_rate(self.settings.share(limits.write_rps, false));
+        let limits = self.settings.state_limits();
+        self.requests.set_rate(self.settings.share(limits.requests_per_s, false));
+        self.writer.set_write_rate(self.settings.share(limits.writes_per_s, false));
     }
 
     pub fn renewed(&self, version: u64, asked: Instant) {
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -20,9 +20,9 @@
             let mut picture = lock(&self.picture);
             let note = |write: &Write| match write {
                 Write::Put { key, value, .. } => picture.put(key, value.clone(), revision),
-                Write::Delete { key } => picture.delete(key, revision),
+                Write::Delete { key } => picture.delete(key, revision).into_iter().collect(),
             };
-            writes.iter().filter_map(note).collect()
+            writes.iter().flat_map(note).collect()
         };
         self.dispatch(&changes);
     }
@@ -96,8 +96,9 @@
     let pause = node.settings.state_timeout() / 4;
     let wait = node.settings.worker_lease();
     // Changes that come close together are fetched together.
-    let spacing =
-        Duration::from_secs_f64(2.0 / node.settings.share(node.settings.cluster.state.rps, false));
+    let spacing = Duration::from_secs_f64(
+        2.0 / node.settings.share(node.settings.state_limits().requests_per_s, false),
+    );
     loop {
         while !lock(&node.picture).loaded {
             let asked = Instant::now();
@@ -134,8 +135,9 @@
 /// reads by itself now and then, to know whether the service answers.
 pub(super) async fn read_duty(node: Arc<Node>) {
     let idle = node.settings.leader_lease() / 4;
-    let spacing =
-        Duration::from_secs_f64(2.0 / node.settings.share(node.settings.cluster.state.rps, false));
+    let spacing = Duration::from_secs_f64(
+        2.0 / node.settings.share(node.settings.state_limits().requests_per_s, false),
+    );
     loop {
         let _ = tokio::time::timeout(idle, node.read_wanted.notified()).await;
         let (loaded, revision) = {
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -4,12 +4,17 @@
 
 use super::{Node, Trouble, UserReply};
 use crate::{
-    protocol::{Condition, JobSpec, JobState, JobStatus, MachineType, Shape, Write, is_job_id},
+    protocol::{
+        Condition, JobId, JobSpec, JobState, JobStatus, MachineType, Shape, Write, is_job_id,
+    },
     scheduler::{TeamUse, placement, team_room},
     state::{StateError, lock},
     store::{self, End},
 };
 
+/// How often an acceptance is tried whose dependencies end meanwhile.
+const ACCEPT_TRIES: u32 = 4;
+
 impl Node {
     pub async fn submit(&self, body: &[u8]) -> Result<UserReply, Trouble> {
         let spec = match JobSpec::parse(body) {
@@ -31,39 +36,98 @@
             None => {}
         }
         if let Some(reason) = self.impossible(&spec)? {
-            // A job accepted elsewhere must never be called impossible.
-            self.fresh().await?;
-            let known = lock(&self.picture).status(&spec.id);
-            return Ok(known.map_or(UserReply::Impossible(reason), UserReply::Known));
+            return self.refuse(&spec.id, UserReply::Impossible(reason)).await;
+        }
+        if let Some(refusal) = self.unusable_dependency(&spec).await? {
+            return self.refuse(&spec.id, refusal).await;
         }
         let Ok(value) = store::value(&spec) else {
             return Ok(UserReply::Malformed("can't be stored".into()));
         };
-        if value.get().len() as f64 > self.settings.cluster.state.value_kb * 1024.0 {
+        if value.get().len() > self.settings.state_limits().value_bytes {
             return Ok(UserReply::Malformed("its description is too long".into()));
         }
-        let key = store::job_key(&spec.id);
-        let conditions = vec![
-            Condition { key: key.clone(), version: 0 },
+        let writes = vec![Write::Put { key: store::job_key(&spec.id), value, lease: None }];
+        for _ in 0..ACCEPT_TRIES {
+            let (conditions, all) = self.acceptance_conditions(&spec);
+            match self.writer.commit(conditions, writes.clone()).await {
+                Ok(revision) => {
+                    self.note_writes(&writes, revision);
+                    return self.accepted(&spec, all).await;
+                }
+                Err(StateError::Refused(_)) => return Err(Trouble::State),
+                Err(error) => {
+                    // Somebody created it, maybe an earlier try of ours.
+                    let reply = self.status(&spec.id).await?;
+                    if reply != UserReply::Unknown {
+                        return Ok(reply);
+                    }
+                    // A conflict and not there: a dependency has ended meanwhile.
+                    // Unsure, and not there: it may still appear; the retry tells.
+                    if !matches!(error, StateError::Conflict(_)) {
+                        return Err(Trouble::State);
+                    }
+                }
+            }
+        }
+        Err(Trouble::State)
+    }
+
+    /// Refuses a submission, unless the job was accepted elsewhere: then it
+    /// must never be called impossible or malformed.
+    async fn refuse(&self, id: &str, refusal: UserReply) -> Result<UserReply, Trouble> {
+        self.fresh().await?;
+        let known = lock(&self.picture).status(id);
+        Ok(known.map_or(refusal, UserReply::Known))
+    }
+
+    /// Why a job can't depend on those that it names, if so. That one was never
+    /// accepted is decided on a reading no older than the question.
+    async fn unusable_dependency(&self, spec: &JobSpec) -> Result<Option<UserReply>, Trouble> {
+        if lock(&self.picture).first_unknown(&spec.dependencies).is_some() {
+            self.fresh().await?;
+        }
+        let picture = lock(&self.picture);
+        if spec.dependencies.iter().any(|id| picture.unreadable.contains(id)) {
+            return Err(Trouble::Record);
+        }
+        if let Some(id) = picture.first_unknown(&spec.dependencies) {
+            let reason = format!("Awaits names {id}, which was never accepted");
+            return Ok(Some(UserReply::Impossible(reason)));
+        }
+        let is_service =
+            |id: &&JobId| picture.jobs.get(*id).is_some_and(|job| job.spec.shape == Shape::Service);
+        Ok(spec.dependencies.iter().find(is_service).map(|id| {
+            UserReply::Malformed(format!("Awaits names {id}, a service, which is never done"))
+        }))
+    }
+
+    /// The conditions under which a job is accepted, and whether they cover all
+    /// that it depends on: a cancellation that lands first must be seen.
+    fn acceptance_conditions(&self, spec: &JobSpec) -> (Vec<Condition>, bool) {
+        let mut conditions = vec![
+            Condition { key: store::job_key(&spec.id), version: 0 },
             Condition { key: store::end_key(&spec.id), version: 0 },
         ];
-        let writes = vec![Write::Put { key, value, lease: None }];
-        match self.writer.commit(conditions, writes.clone()).await {
-            Ok(revision) => {
-                self.note_writes(&writes, revision);
-                info!(job = %spec.id, class = %spec.class, team = %spec.team, tasks = spec.tasks, "accepted");
-                let state = JobState::Pending;
-                let id = spec.id;
-                Ok(UserReply::Created(JobStatus { id, state, done: 0, running: 0 }))
-            }
-            Err(StateError::Refused(_)) => Err(Trouble::State),
-            // Somebody created it, maybe an earlier try of ours.
-            Err(_) => match self.status(&spec.id).await? {
-                // Unsure, and not there: it may still appear; the retry tells.
-                UserReply::Unknown => Err(Trouble::State),
-                reply => Ok(reply),
-            },
+        let picture = lock(&self.picture);
+        let mut unfinished = spec.dependencies.iter().filter(|id| !picture.ends.contains_key(*id));
+        let room = self.settings.state_limits().transaction_conditions() - conditions.len();
+        let covered = unfinished.by_ref().take(room);
+        conditions.extend(covered.map(|id| Condition { key: store::end_key(id), version: 0 }));
+        (conditions, unfinished.next().is_none())
+    }
+
+    /// Answers for a job that was accepted just now. It may be cancelled
+    /// already, with one that it depends on.
+    async fn accepted(&self, spec: &JobSpec, covered: bool) -> Result<UserReply, Trouble> {
+        info!(job = %spec.id, class = %spec.class, team = %spec.team, tasks = spec.tasks, "accepted");
+        if !covered {
+            self.fresh().await?;
         }
+        let cancelled = lock(&self.picture).status(&spec.id).filter(final_state);
+        let state = cancelled.map_or(JobState::Pending, |status| status.state);
+        let id = spec.id.clone();
+        Ok(UserReply::Created(JobStatus { id, state, done: 0, running: 0 }))
     }
 
     /// Why a job can never run, if so.
@@ -94,8 +158,12 @@
             return Ok(UserReply::Known(status));
         }
         self.fresh().await?;
-        let known = lock(&self.picture).status(id);
-        Ok(known.map_or(UserReply::Unknown, UserReply::Known))
+        let picture = lock(&self.picture);
+        match picture.status(id) {
+            Some(status) => Ok(UserReply::Known(status)),
+            None if picture.unreadable.contains(id) => Err(Trouble::Record),
+            None => Ok(UserReply::Unknown),
+        }
     }
 
     pub async fn cancel(&self, id: &str) -> Result<UserReply, Trouble> {
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -3,9 +3,9 @@
 //! The wire's own names appear only here, as serde renames; the rest of the
 //! program speaks of jobs, tasks, machines, sessions and fencing tokens.
 
-use std::sync::Arc;
+use std::{collections::HashSet, sync::Arc};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::value::RawValue;
 
 /// Names of jobs and machines are shared by many tables, so they are counted
@@ -83,13 +83,27 @@
     pub save_s: f64,
     #[serde(rename = "DueS", default, skip_serializing_if = "Option::is_none")]
     pub deadline_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts.
+    #[serde(
+        rename = "Awaits",
+        default,
+        deserialize_with = "null_as_empty",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub dependencies: Vec<JobId>,
+}
+
+fn null_as_empty<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<JobId>, D::Error> {
+    Ok(Option::deserialize(deserializer)?.unwrap_or_default())
 }
 
 impl JobSpec {
     /// Reads a submission, or says in one sentence what is wrong with it.
     pub fn parse(body: &[u8]) -> Result<Self, String> {
-        let spec: Self = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+        let mut spec: Self = serde_json::from_slice(body).map_err(|e| e.to_string())?;
         spec.check()?;
+        let mut named = HashSet::new();
+        spec.dependencies.retain(|dependency| named.insert(dependency.clone()));
         Ok(spec)
     }
 
@@ -135,6 +149,12 @@
         if self.types.as_ref().is_some_and(Vec::is_empty) {
             return Err("Frames must name a type or be null".into());
         }
+        if let Some(wrong) = self.dependencies.iter().find(|id| !is_job_id(id)) {
+            return Err(format!("Awaits names {wrong:?}, which is not a job id"));
+        }
+        if self.dependencies.contains(&self.id) {
+            return Err("Awaits must not name the job itself".into());
+        }
         Ok(())
     }
 }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -12,7 +12,7 @@
 use std::{cell::Cell, collections::HashMap, sync::Arc};
 
 use crate::{
-    protocol::{JobId, JobSpec, MachineId, MachineType, Shape},
+    protocol::{JobId, JobSpec, MachineId, MachineType, Priority, Shape},
     settings::{Settings, Team},
 };
 
@@ -109,6 +109,8 @@
     pub spec: Arc<JobSpec>,
     /// Order of arrival.
     pub arrival: u64,
+    /// The highest priority among the job and those that depend on it.
+    pub priority: Priority,
     /// Tasks that could start now, lowest first.
     pub pending: Vec<u32>,
     /// Tasks not done yet.
@@ -237,7 +239,7 @@
     order.sort_by_cached_key(|&at| {
         let job = &snapshot.jobs[at];
         let elastic = job.spec.shape == Shape::Array;
-        let priority = std::cmp::Reverse(job.spec.priority);
+        let priority = std::cmp::Reverse(job.priority);
         (priority, elastic, !job.guaranteed, job.arrival)
     });
     order
--- a/src/scheduler/moving.rs
+++ b/src/scheduler/moving.rs
@@ -87,7 +87,7 @@
             if bound.stopping || room.holds(&need) {
                 continue;
             }
-            let stops = spec.shape == Shape::Array && spec.priority < job.spec.priority;
+            let stops = spec.shape == Shape::Array && snapshot.jobs[other].priority < job.priority;
             if stops || (spec.shape == Shape::Service && bound.settled) {
                 room.add(&Resources::of_task(spec));
                 tasks.push((other, slot));
--- a/src/scheduler/preemption.rs
+++ b/src/scheduler/preemption.rs
@@ -163,9 +163,7 @@
             let bound = &other.bound[slot];
             // Only arrays: stopping a replica or a gang costs its whole job,
             // and work that is dearer to stop waits for a rented machine.
-            if other.spec.priority < job.spec.priority
-                && other.spec.shape == Shape::Array
-                && !bound.stopping
+            if other.priority < job.priority && other.spec.shape == Shape::Array && !bound.stopping
             {
                 candidates.push((bound.loss_s, j, slot));
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -16,6 +16,15 @@
 /// Listeners, the runtime's own, standard streams.
 const BASE_SOCKETS: usize = 12;
 
+/// The state service takes so many conditions for each write that a
+/// transaction may have.
+const CONDITIONS_PER_WRITE: usize = 4;
+/// A job's end and the removal of its records must fit one transaction.
+const LEAST_TRANSACTION_WRITES: usize = 4;
+/// A submission with names of usual length must fit one value.
+const LEAST_VALUE_KB: f64 = 0.5;
+const BYTES_PER_KB: f64 = 1024.0;
+
 /// One line that names the file, the field and the reason.
 #[derive(Debug, Error, PartialEq)]
 #[error("{file}: {field}: {reason}")]
@@ -110,12 +119,81 @@
     pub cancel_s: f64,
 }
 
+/// The limits of the state service, and those that it may have later on.
 #[derive(Clone, Debug, Deserialize)]
 pub struct StateLimits {
     pub rps: f64,
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// Limits that come into force at an unannounced moment.
+    #[serde(default)]
+    pub next: NextStateLimits,
+}
+
+/// Limits that the state service will have later; absent ones stay as they are.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct NextStateLimits {
+    pub rps: Option<f64>,
+    pub write_rps: Option<f64>,
+    pub value_kb: Option<f64>,
+    pub txn_ops: Option<usize>,
+}
+
+/// What may be asked of the state service now and later: of each limit the
+/// smaller of the present and the coming one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EffectiveLimits {
+    /// Requests a second.
+    pub requests_per_s: f64,
+    /// Puts and deletes a second.
+    pub writes_per_s: f64,
+    /// Bytes of one value.
+    pub value_bytes: usize,
+    /// Puts and deletes of one transaction.
+    pub transaction_writes: usize,
+}
+
+impl EffectiveLimits {
+    /// The most conditions that one transaction may have.
+    pub fn transaction_conditions(&self) -> usize {
+        self.transaction_writes * CONDITIONS_PER_WRITE
+    }
+}
+
+impl NextStateLimits {
+    fn check(&self) -> Result<(), (&'static str, &'static str)> {
+        let rates = [
+            ("cluster.state.next.rps", self.rps),
+            ("cluster.state.next.write_rps", self.write_rps),
+        ];
+        for (field, rate) in rates {
+            if rate.is_some_and(|rate| !rate.is_finite() || rate <= 0.0) {
+                return Err((field, "must be more than 0"));
+            }
+        }
+        if self.value_kb.is_some_and(|kb| !kb.is_finite() || kb < LEAST_VALUE_KB) {
+            return Err(("cluster.state.next.value_kb", "must be at least 0.5"));
+        }
+        if self.txn_ops.is_some_and(|writes| writes < LEAST_TRANSACTION_WRITES) {
+            return Err(("cluster.state.next.txn_ops", "must be at least 4"));
+        }
+        Ok(())
+    }
+}
+
+impl StateLimits {
+    /// The limits that hold at any time, whenever the coming ones begin.
+    pub fn effective(&self) -> EffectiveLimits {
+        let next = &self.next;
+        let value_kb = self.value_kb.min(next.value_kb.unwrap_or(f64::INFINITY));
+        EffectiveLimits {
+            requests_per_s: self.rps.min(next.rps.unwrap_or(f64::INFINITY)),
+            writes_per_s: self.write_rps.min(next.write_rps.unwrap_or(f64::INFINITY)),
+            value_bytes: (value_kb * BYTES_PER_KB) as usize,
+            transaction_writes: self.txn_ops.min(next.txn_ops.unwrap_or(usize::MAX)),
+        }
+    }
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -255,9 +333,10 @@
         if c.zones.is_empty() || c.zones.len() > usize::from(u8::MAX) {
             return Err(("cluster.zones", "must name 1 to 255 zones"));
         }
-        if c.state.txn_ops < 4 {
+        if c.state.txn_ops < LEAST_TRANSACTION_WRITES {
             return Err(("cluster.state.txn_ops", "must be at least 4"));
         }
+        c.state.next.check()?;
         if c.quota.fd_limit < 32 {
             return Err(("cluster.quota.fd_limit", "must be at least 32"));
         }
@@ -272,12 +351,12 @@
 
     /// What will work, but badly: one line each, for the operator.
     pub fn warnings(&self) -> Vec<String> {
-        let state = &self.cluster.state;
+        let limits = self.state_limits();
         let mut found = Vec::new();
         // Each controller asks by itself, without any user: renewals or reads
         // several times per leader lease, and a watch.
         let quiet = 8.0 / self.leader_lease().as_secs_f64();
-        let share = self.share(state.rps, false);
+        let share = self.share(limits.requests_per_s, false);
         if share < quiet {
             found.push(format!(
                 "cluster.state.rps: {:.1} requests a second are left for each of {} controllers, \
@@ -285,7 +364,7 @@
                 share, self.cluster.size
             ));
         }
-        let writes = self.share(state.write_rps, false);
+        let writes = self.share(limits.writes_per_s, false);
         if writes < 1.0 {
             found.push(format!(
                 "cluster.state.write_rps: {writes:.1} changes a second are left for each of {} \
@@ -401,13 +480,26 @@
         }
     }
 
-    /// Tasks per durable page, such that a page full of bindings fits a value.
+    /// What may be asked of the state service, now and after its limits fall.
+    pub fn state_limits(&self) -> EffectiveLimits {
+        self.cluster.state.effective()
+    }
+
+    /// Tasks per durable page, such that a page full of bindings fits a value
+    /// of today's limit. It must not follow `state.next`: versions that don't
+    /// know that setting share the pages, and which tasks a page holds follows
+    /// from its number alone. `controller/pages.rs` keeps the content within
+    /// the smaller limit.
     pub fn page_tasks(&self) -> u32 {
-        const BINDING_BYTES: f64 = 64.0;
-        let tasks = self.cluster.state.value_kb * 1024.0 / BINDING_BYTES;
-        (tasks as u32).clamp(1, 1024)
+        tasks_per_page(self.cluster.state.value_kb * BYTES_PER_KB)
     }
 }
 
+fn tasks_per_page(value_bytes: f64) -> u32 {
+    const BINDING_BYTES: f64 = 64.0;
+    const MOST_TASKS: u32 = 1024;
+    ((value_bytes / BINDING_BYTES) as u32).clamp(1, MOST_TASKS)
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -97,3 +97,46 @@
     let team = Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 };
     assert!(!team.guarantees(0.0, 0.0));
 }
+
+fn with_next(next: &str) -> String {
+    GOOD.replace("[cluster.cloud]", &format!("[cluster.state.next]\n{next}\n[cluster.cloud]"))
+}
+
+#[test]
+fn the_smaller_of_present_and_coming_limits_holds() {
+    let limits = |text: &str| Settings::parse("f", text).expect("valid").state_limits();
+    let today = limits(GOOD);
+    assert_eq!((today.value_bytes, today.transaction_writes), (8192, 24));
+    let lower = limits(&with_next("value_kb = 2.0\ntxn_ops = 8\nwrite_rps = 42.0"));
+    assert_eq!((lower.value_bytes, lower.transaction_writes), (2048, 8));
+    assert_eq!((lower.writes_per_s, lower.requests_per_s), (42.0, 150.0));
+    assert_eq!(lower.transaction_conditions(), 32);
+    // Larger coming limits change nothing, for nobody tells when they begin.
+    let higher = limits(&with_next("value_kb = 64.0\ntxn_ops = 99\nwrite_rps = 500.0"));
+    assert_eq!(higher, today);
+    assert_eq!(limits(&with_next("")), today);
+}
+
+#[test]
+fn the_page_layout_is_that_of_versions_that_do_not_know_the_coming_limits() {
+    // Production's figure for 8 KiB: an old and a new leader must agree on it.
+    let settings = Settings::parse("f", &with_next("value_kb = 2.0")).expect("valid");
+    assert_eq!(settings.page_tasks(), 128);
+}
+
+#[test]
+fn coming_limits_that_cannot_work_are_named() {
+    let mistakes = [
+        ("txn_ops = 3", "cluster.state.next.txn_ops"),
+        ("value_kb = 0.1", "cluster.state.next.value_kb"),
+        ("value_kb = nan", "cluster.state.next.value_kb"),
+        ("write_rps = 0.0", "cluster.state.next.write_rps"),
+        ("rps = -1.0", "cluster.state.next.rps"),
+        ("txn_ops = \"many\"", "cluster.state.next.txn_ops"),
+    ];
+    for (next, field) in mistakes {
+        let error = Settings::parse("f", &with_next(next)).expect_err(field);
+        assert_eq!(error.field, field, "{error}");
+        assert_eq!(error.to_string().lines().count(), 1, "{error}");
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -222,6 +222,7 @@
     queue: Mutex<VecDeque<Change>>,
     wake: Notify,
     max_ops: usize,
+    max_conditions: usize,
     max_bytes: usize,
     timeout: Duration,
 }
@@ -231,13 +232,15 @@
 
 impl Writer {
     pub fn new(api: Arc<dyn StateApi>, settings: &Settings, requests: Arc<Budget>) -> Self {
+        let limits = settings.state_limits();
         Self {
             api,
             requests,
-            writes: Budget::new(settings.share(settings.cluster.state.write_rps, false)),
+            writes: Budget::new(settings.share(limits.writes_per_s, false)),
             queue: Mutex::default(),
             wake: Notify::new(),
-            max_ops: settings.cluster.state.txn_ops,
+            max_ops: limits.transaction_writes,
+            max_conditions: limits.transaction_conditions(),
             max_bytes: crate::protocol::BODY_LIMIT - 4096,
             timeout: settings.state_timeout(),
         }
@@ -309,7 +312,7 @@
             conditions += next.conditions.len();
             bytes += size;
             let full = ops > self.max_ops
-                || conditions > 4 * self.max_ops
+                || conditions > self.max_conditions
                 || bytes > self.max_bytes
                 || clash;
             if full && !group.is_empty() {
--- a/src/store.rs
+++ b/src/store.rs
@@ -13,15 +13,18 @@
 //! | `sw/e/{job}` | how the job ended, created once, kept for ever | leader (done), any node (cancelled) |
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
 };
 
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
-use crate::protocol::{
-    Event, Item, JobId, JobSpec, JobState, JobStatus, MachineId, MachineType, is_job_id,
+use crate::{
+    dependencies::{DependencyGraph, Effects, Outcome},
+    protocol::{
+        Event, Item, JobId, JobSpec, JobState, JobStatus, MachineId, MachineType, is_job_id,
+    },
 };
 
 pub const PREFIX: &str = "sw/";
@@ -91,6 +94,25 @@
     pub done: u32,
 }
 
+impl End {
+    /// What the end means to jobs that depend on the one that ended.
+    /// None for a state that is not final: its dependants go on waiting.
+    pub fn outcome(&self) -> Option<Outcome> {
+        match self.state {
+            JobState::Done => Some(Outcome::Done),
+            JobState::Cancelled => Some(Outcome::Cancelled),
+            JobState::Pending | JobState::Running => None,
+        }
+    }
+}
+
+fn changes_of(effects: Effects) -> impl Iterator<Item = Change> {
+    let cancelled = effects.cancelled.into_iter().map(Change::Ended);
+    let ready = effects.ready.into_iter().map(Change::Ready);
+    let reranked = effects.reranked.into_iter().map(Change::Reranked);
+    cancelled.chain(ready).chain(reranked)
+}
+
 #[derive(Clone, Debug)]
 pub struct PageEntry {
     pub version: u64,
@@ -123,7 +145,12 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
     Arrived(JobId),
+    /// All that the job depends on is done.
+    Ready(JobId),
+    /// The job ended, or is cancelled with one that it depends on.
     Ended(JobId),
+    /// The job's effective priority changed.
+    Reranked(JobId),
     Lead,
     Stray,
 }
@@ -139,6 +166,11 @@
     pub jobs: HashMap<JobId, JobEntry>,
     pub pages: HashMap<JobId, BTreeMap<u32, PageEntry>>,
     pub ends: HashMap<JobId, End>,
+    /// What the jobs that have not ended depend on.
+    pub dependencies: DependencyGraph,
+    /// Accepted jobs whose records can't be read: they are neither run nor
+    /// called unknown.
+    pub unreadable: HashSet<JobId>,
     /// Cancelled jobs by the revision of their end.
     pub cancelled: BTreeSet<(u64, JobId)>,
 }
@@ -176,12 +208,13 @@
     /// may have told users: the reading may be older. An accepted job must not
     /// look ended because of that, nor a cancelled one unknown.
     fn keep_later(&mut self, old: &Self, revision: u64) {
+        // Those who follow the picture heard of all this when it was noted.
         for (id, end) in &old.ends {
-            self.ends.entry(id.clone()).or_insert(*end);
+            let _ = self.note_end(id.clone(), *end);
         }
         self.cancelled.extend(old.cancelled.iter().cloned());
-        for (id, job) in old.jobs.iter().filter(|(_, job)| job.version > revision) {
-            self.jobs.entry(id.clone()).or_insert_with(|| job.clone());
+        for job in old.jobs.values().filter(|job| job.version > revision) {
+            let _ = self.note_job(job.clone());
         }
         for (id, pages) in &old.pages {
             for (number, page) in pages.iter().filter(|(_, page)| page.version > revision) {
@@ -199,6 +232,33 @@
         self.token = self.token.max(old.token);
     }
 
+    fn note_job(&mut self, job: JobEntry) -> Vec<Change> {
+        let id = job.spec.id.clone();
+        if self.jobs.contains_key(&id) {
+            return Vec::new();
+        }
+        let mut changes = vec![Change::Arrived(id.clone())];
+        if !self.ends.contains_key(&id) {
+            let outcome = |needed: &JobId| self.ends.get(needed).and_then(End::outcome);
+            let spec = &job.spec;
+            let effects = self.dependencies.insert(&id, spec.priority, &spec.dependencies, outcome);
+            changes.extend(changes_of(effects));
+        }
+        self.jobs.insert(id, job);
+        changes
+    }
+
+    fn note_end(&mut self, id: JobId, end: End) -> Vec<Change> {
+        if self.ends.contains_key(&id) {
+            return Vec::new();
+        }
+        self.ends.insert(id.clone(), end);
+        let effects = end.outcome().map(|outcome| self.dependencies.end(&id, outcome));
+        let mut changes = vec![Change::Ended(id)];
+        changes.extend(changes_of(effects.unwrap_or_default()));
+        changes
+    }
+
     /// Applies what a watch brought. Changes already seen are passed over, so
     /// several watches may bring the same ones.
     pub fn apply(&mut self, events: Vec<Event>, revision: u64) -> Vec<Change> {
@@ -219,7 +279,12 @@
 
     /// Takes in one record, unless a newer version is held already (a
     /// committed write is noted at once, before the watch brings it).
-    pub fn put(&mut self, key: &str, raw: Box<RawValue>, version: u64) -> Option<Change> {
+    pub fn put(&mut self, key: &str, raw: Box<RawValue>, version: u64) -> Vec<Change> {
+        self.try_put(key, raw, version).unwrap_or_default()
+    }
+
+    /// None: the record changes nothing, or it can't be read.
+    fn try_put(&mut self, key: &str, raw: Box<RawValue>, version: u64) -> Option<Vec<Change>> {
         fn read<'a, T: Deserialize<'a>>(key: &str, raw: &'a RawValue) -> Option<T> {
             serde_json::from_str(raw.get())
                 .inspect_err(|e| tracing::error!(key, error = %e, "a record can't be read"))
@@ -231,7 +296,7 @@
                     return None;
                 }
                 self.lead = read(key, &raw).map(|lead| (version, lead));
-                Some(Change::Lead)
+                Some(vec![Change::Lead])
             }
             TOKEN => {
                 if version > self.token.0 {
@@ -239,7 +304,7 @@
                 }
                 None
             }
-            STRAY => Some(Change::Stray),
+            STRAY => Some(vec![Change::Stray]),
             TYPES => {
                 if self.types.as_ref().is_none_or(|(v, _)| *v < version) {
                     self.types = Some((version, Arc::new(read(key, &raw)?)));
@@ -253,11 +318,11 @@
                         if self.jobs.contains_key(name) {
                             return None;
                         }
-                        let spec: JobSpec = read(key, &raw)?;
-                        let id = spec.id.clone();
-                        let entry = JobEntry { version, spec: Arc::new(spec) };
-                        self.jobs.insert(id.clone(), entry);
-                        Some(Change::Arrived(id))
+                        let Some(spec) = read::<JobSpec>(key, &raw) else {
+                            self.unreadable.insert(name.into());
+                            return None;
+                        };
+                        Some(self.note_job(JobEntry { version, spec: Arc::new(spec) }))
                     }
                     "e" if is_job_id(name) => {
                         if self.ends.contains_key(name) {
@@ -268,8 +333,7 @@
                         if end.state == JobState::Cancelled {
                             self.cancelled.insert((version, id.clone()));
                         }
-                        self.ends.insert(id.clone(), end);
-                        Some(Change::Ended(id))
+                        Some(self.note_end(id, end))
                     }
                     "p" => {
                         let (name, page) = name.split_once('/')?;
@@ -300,6 +364,9 @@
             "j" if self.jobs.get(name).is_some_and(|j| j.version < version) => {
                 self.jobs.remove(name);
             }
+            "j" => {
+                self.unreadable.remove(name);
+            }
             "p" => {
                 let (name, page) = name.split_once('/')?;
                 let page: u32 = page.parse().ok()?;
@@ -316,17 +383,25 @@
         None
     }
 
+    /// The first of these jobs that this picture doesn't know as accepted.
+    pub fn first_unknown<'a>(&self, jobs: &'a [JobId]) -> Option<&'a JobId> {
+        let known = |id: &JobId| {
+            self.jobs.contains_key(id) || self.ends.contains_key(id) || self.unreadable.contains(id)
+        };
+        jobs.iter().find(|id| !known(id))
+    }
+
     /// A job's state as this picture has it, or none for one never accepted.
     pub fn status(&self, id: &str) -> Option<JobStatus> {
+        let ended = |id: &JobId, state, done| JobStatus { id: id.clone(), state, done, running: 0 };
         if let Some((id, end)) = self.ends.get_key_value(id) {
-            return Some(JobStatus {
-                id: id.clone(),
-                state: end.state,
-                done: end.done,
-                running: 0,
-            });
+            return Some(ended(id, end.state, end.done));
         }
         let (id, _) = self.jobs.get_key_value(id)?;
+        // It has never had a task, and its own end record may come later.
+        if self.dependencies.is_cancelled(id) {
+            return Some(ended(id, JobState::Cancelled, 0));
+        }
         let (mut done, mut running) = (0, 0);
         for page in self.pages.get(id).into_iter().flat_map(BTreeMap::values) {
             done += page.done;
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -49,7 +49,8 @@
 #[test]
 fn the_first_end_that_was_seen_stays() {
     let mut picture = Picture::default();
-    assert!(picture.put("sw/e/j-000001", raw(r#"{"s":"done","d":2}"#), 5).is_some());
-    assert!(picture.put("sw/e/j-000001", raw(CANCELLED), 6).is_none());
+    let changes = picture.put("sw/e/j-000001", raw(r#"{"s":"done","d":2}"#), 5);
+    assert_eq!(changes, [Change::Ended("j-000001".into())]);
+    assert!(picture.put("sw/e/j-000001", raw(CANCELLED), 6).is_empty());
     assert_eq!(picture.status("j-000001").map(|s| s.state), Some(JobState::Done));
 }
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -62,17 +62,18 @@
         let spec = JobSpec::parse(&job(id, changes)).expect("valid");
         self.revision += 1;
         let value = store::value(&spec).expect("json");
-        let change = self.picture.put(&store::job_key(id), value, self.revision).expect("news");
-        self.leader.on_changes(&[change], &self.picture, self.now);
+        let changes = self.picture.put(&store::job_key(id), value, self.revision);
+        assert_eq!(changes.first(), Some(&Change::Arrived(id.into())));
+        self.leader.on_changes(&changes, &self.picture, self.now);
     }
 
     fn cancel(&mut self, id: &str) {
         self.revision += 1;
         let end = json!({"s": "aborted", "d": 0});
         let value = store::value(&end).expect("json");
-        let change = self.picture.put(&store::end_key(id), value, self.revision).expect("news");
-        assert!(matches!(change, Change::Ended(_)));
-        self.leader.on_changes(&[change], &self.picture, self.now);
+        let changes = self.picture.put(&store::end_key(id), value, self.revision);
+        assert_eq!(changes.first(), Some(&Change::Ended(id.into())));
+        self.leader.on_changes(&changes, &self.picture, self.now);
     }
 
     fn pass(&mut self, seconds: f64) {
