Pages keep within the coming limit; a rejected write is no loop; formats of the version before as samples

Places are given only while their page fits the smaller limit. A page that the version before filled beyond it is written once some tasks have left it. Gangs too large for that get smaller pages when every member knows them. A gang starts only when all its places are durable. A 400 of the state service is an error of its own: it is tried again after a lease's time and ends no term.

--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -87,14 +87,13 @@
         if room == 0 {
             return Vec::new();
         }
-        let size = self.settings.page_tasks();
         let mut due: Vec<_> = self
             .dirty
             .iter()
             .filter(|key| !self.inflight.contains(*key))
             .map(|key| {
                 let job = self.jobs.get(&key.0);
-                let places = job.is_some_and(|j| j.awaits_record(key.1, size));
+                let places = job.is_some_and(|j| j.awaits_record(key.1));
                 let rank = job.map(|j| (std::cmp::Reverse(j.priority), j.arrival));
                 (!places, rank, key)
             })
@@ -111,13 +110,13 @@
         picture: &Picture,
     ) -> Option<Commit> {
         self.dirty.remove(&key);
-        let job = self.jobs.get_mut(&key.0)?;
+        let job = self.jobs.get(&key.0)?;
         // An ended job's pages only matter while tasks are bound.
         if (job.ended.is_some() && job.bound.is_empty()) || job.remaining() == 0 {
             return None;
         }
-        let content = job.page(key.1, self.settings.page_tasks());
-        let value = store::value(&content).ok()?;
+        let (content, value) = self.page_record(&key)?;
+        let job = self.jobs.get_mut(&key.0)?;
         job.pages.insert(key.1);
         let page = store::page_key(&key.0, key.1);
         let job_key = store::job_key(&key.0);
@@ -215,6 +214,7 @@
                     let arrival = job.arrival;
                     info!(job = %id, "ended");
                     self.jobs.remove(id);
+                    self.oversized.retain(|(job, _)| job != id);
                     self.order.remove(&(arrival, id.clone()));
                 }
             }
--- a/src/controller/deciding.rs
+++ b/src/controller/deciding.rs
@@ -6,7 +6,7 @@
 use tokio::time::{Duration, Instant};
 use tracing::{debug, info};
 
-use super::{Binding, Job, Leader, use_team};
+use super::{Binding, Job, Leader, pages::LongestNames, use_team};
 use crate::{
     fleet::Machine,
     protocol::{JobId, JobSpec, MachineId, Shape},
@@ -36,12 +36,13 @@
         let machines = self.machine_views(now);
         let index: HashMap<&MachineId, usize> =
             machines.iter().enumerate().map(|(at, m)| (&m.id, at)).collect();
+        let names = self.longest_names();
         let jobs: Vec<JobView> = self
             .order
             .keys()
             .filter_map(|(_, id)| self.jobs.get(id))
             .filter(|job| job.is_active() && job.remaining() > 0)
-            .map(|job| self.job_view(job, &index, now))
+            .map(|job| self.job_view(job, &index, names, now))
             .collect();
         let snapshot = Snapshot {
             settings: &settings,
@@ -140,9 +141,20 @@
         views
     }
 
-    fn job_view(&self, job: &Job, index: &HashMap<&MachineId, usize>, now: Instant) -> JobView {
+    fn job_view(
+        &self,
+        job: &Job,
+        index: &HashMap<&MachineId, usize>,
+        names: LongestNames,
+        now: Instant,
+    ) -> JobView {
         // Enough for any width the fleet could hold.
         let limit = index.len() * 64 + 512;
+        let pending = job.pending(limit);
+        let wanted = pending.len();
+        let pending = job.with_room(pending, self.settings.state_limits().value_bytes, names);
+        // Half a gang is no use to anybody.
+        let crowded = job.spec.shape == Shape::Gang && pending.len() < wanted;
         let bound = job
             .bound
             .iter()
@@ -164,7 +176,7 @@
             spec: job.spec.clone(),
             arrival: job.arrival,
             priority: job.priority,
-            pending: job.pending(limit),
+            pending,
             remaining: job.remaining(),
             bound,
             width: job.width,
@@ -174,7 +186,7 @@
             }),
             // Known only once all jobs of the team are seen together.
             guaranteed: false,
-            held: job.held_until.is_some(),
+            held: crowded || job.held_until.is_some(),
             avoid: job.avoid.clone(),
         }
     }
@@ -238,7 +250,7 @@
             let here = machine.bound.iter().filter_map(|(job, _)| self.jobs.get(job));
             let used: Vec<Arc<str>> = here.map(|job| job.spec.image.clone()).collect();
             machine.note_image(&spec.image, spec.image_gb, cache_gb, &used);
-            self.dirty.insert((id, task / self.settings.page_tasks()));
+            self.mark_page(&(id, task));
         }
     }
 }
--- /dev/null
+++ b/src/controller/job.rs
@@ -0,0 +1,131 @@
+//! One job as the leader holds it: its tasks, where they are bound, and what
+//! holds them back.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashSet},
+    sync::Arc,
+};
+
+use tokio::time::Instant;
+
+use crate::protocol::{JobSpec, MachineId, Priority, Shape};
+
+/// A task on its machine, until proof that it is gone.
+#[derive(Clone, Debug)]
+pub(super) struct Binding {
+    pub(super) machine: MachineId,
+    pub(super) attempt: u64,
+    pub(super) session: u64,
+    pub(super) zone: u8,
+    /// The record that binds it is committed.
+    pub(super) durable: bool,
+    /// Answers that carried its start order and were not followed by it.
+    pub(super) sent: u32,
+    /// A report showed it on the machine.
+    pub(super) seen: bool,
+    pub(super) running_since: Option<Instant>,
+    pub(super) stop: Option<Stop>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Stop {
+    pub(super) since: Instant,
+    pub(super) grace_s: f64,
+}
+
+pub(super) struct Job {
+    pub(super) spec: Arc<JobSpec>,
+    pub(super) arrival: u64,
+    /// When this leader came to know it.
+    pub(super) known_since: Instant,
+    pub(super) ended: Option<Instant>,
+    /// A job that it depends on is not done: it takes part in nothing.
+    pub(super) waits_for_others: bool,
+    /// The highest priority among the job and those that depend on it.
+    pub(super) priority: Priority,
+    pub(super) bound: BTreeMap<u32, Binding>,
+    pub(super) done: HashSet<u32>,
+    /// No task below this one is pending, apart from `returned`.
+    pub(super) next: u32,
+    /// Tasks that came back from a machine undone.
+    pub(super) returned: BTreeSet<u32>,
+    pub(super) attempt: u64,
+    pub(super) width: u32,
+    /// Failures in a row, and the wait they earned the job.
+    pub(super) failures: u32,
+    pub(super) held_until: Option<Instant>,
+    pub(super) avoid: Vec<MachineId>,
+    pub(super) pages: BTreeSet<u32>,
+    /// Tasks that each of its pages covers, see `pages`.
+    pub(super) page_tasks: u32,
+    pub(super) ending: bool,
+}
+
+impl Job {
+    pub(super) fn new(spec: Arc<JobSpec>, arrival: u64, page_tasks: u32, now: Instant) -> Self {
+        Self {
+            priority: spec.priority,
+            spec,
+            arrival,
+            known_since: now,
+            ended: None,
+            waits_for_others: false,
+            bound: BTreeMap::new(),
+            done: HashSet::new(),
+            next: 0,
+            returned: BTreeSet::new(),
+            attempt: 0,
+            width: 0,
+            failures: 0,
+            held_until: None,
+            avoid: Vec::new(),
+            pages: BTreeSet::new(),
+            page_tasks,
+            ending: false,
+        }
+    }
+
+    /// Whether it may have tasks, now or later, without waiting for other jobs.
+    pub(super) fn is_active(&self) -> bool {
+        self.ended.is_none() && !self.waits_for_others
+    }
+
+    pub(super) fn remaining(&self) -> u32 {
+        self.spec.tasks - self.done.len() as u32
+    }
+
+    /// The lowest tasks that could start, up to `limit`.
+    pub(super) fn pending(&self, limit: usize) -> Vec<u32> {
+        // A returned task may lie beyond `next`, and named twice it would be
+        // placed twice.
+        let fresh = (self.next..self.spec.tasks).filter(|t| {
+            !self.done.contains(t) && !self.bound.contains_key(t) && !self.returned.contains(t)
+        });
+        self.returned.iter().copied().chain(fresh).take(limit).collect()
+    }
+
+    /// Whether start orders may leave: a gang's only when all its places are
+    /// durable, or a leader that ends in between would leave part of it waiting.
+    pub(super) fn may_start(&self, binding: &Binding) -> bool {
+        binding.durable
+            && (self.spec.shape != Shape::Gang || self.bound.values().all(|other| other.durable))
+    }
+
+    /// A former leader bound only part of a gang durably, and so started none of
+    /// it: the rest would wait for ever.
+    pub(super) fn give_up_part_of_a_gang(&mut self, now: Instant) {
+        let whole = self.bound.len() + self.done.len() == self.spec.tasks as usize;
+        if self.spec.shape != Shape::Gang || whole {
+            return;
+        }
+        let stop = Stop { since: now, grace_s: self.grace_s() };
+        for binding in self.bound.values_mut() {
+            binding.stop.get_or_insert(stop);
+        }
+    }
+
+    pub(super) fn grace_s(&self) -> f64 {
+        // A little above what the job needs: the order takes its time.
+        if self.spec.checkpoint_s > 0.0 { self.spec.save_s * 1.5 } else { 0.0 }
+    }
+}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -11,11 +11,13 @@
 
 mod committing;
 mod deciding;
+mod job;
+mod pages;
 mod renting;
 mod reports;
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     sync::Arc,
 };
 
@@ -23,10 +25,11 @@
 use tracing::{info, warn};
 
 pub use committing::{Commit, CommitKind};
+use job::{Binding, Job, Stop};
 
 use crate::{
     fleet::{Fleet, Machine, TaskKey},
-    protocol::{JobId, JobSpec, MachineId, MachineType, Priority, Rental, Shape},
+    protocol::{JobId, JobSpec, MachineId, MachineType, Rental, Shape},
     scheduler::TeamUse,
     settings::Settings,
     store::{Change, Page, Picture},
@@ -49,127 +52,6 @@
     pub weighed: u64,
 }
 
-/// A task on its machine, until proof that it is gone.
-#[derive(Clone, Debug)]
-struct Binding {
-    machine: MachineId,
-    attempt: u64,
-    session: u64,
-    zone: u8,
-    /// The record that binds it is committed.
-    durable: bool,
-    /// Answers that carried its start order and were not followed by it.
-    sent: u32,
-    /// A report showed it on the machine.
-    seen: bool,
-    running_since: Option<Instant>,
-    stop: Option<Stop>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Stop {
-    since: Instant,
-    grace_s: f64,
-}
-
-struct Job {
-    spec: Arc<JobSpec>,
-    arrival: u64,
-    /// When this leader came to know it.
-    known_since: Instant,
-    ended: Option<Instant>,
-    /// A job that it depends on is not done: it takes part in nothing.
-    waits_for_others: bool,
-    /// The highest priority among the job and those that depend on it.
-    priority: Priority,
-    bound: BTreeMap<u32, Binding>,
-    done: HashSet<u32>,
-    /// No task below this one is pending, apart from `returned`.
-    next: u32,
-    /// Tasks that came back from a machine undone.
-    returned: BTreeSet<u32>,
-    attempt: u64,
-    width: u32,
-    /// Failures in a row, and the wait they earned the job.
-    failures: u32,
-    held_until: Option<Instant>,
-    avoid: Vec<MachineId>,
-    pages: BTreeSet<u32>,
-    ending: bool,
-}
-
-impl Job {
-    fn new(spec: Arc<JobSpec>, arrival: u64, now: Instant) -> Self {
-        Self {
-            priority: spec.priority,
-            spec,
-            arrival,
-            known_since: now,
-            ended: None,
-            waits_for_others: false,
-            bound: BTreeMap::new(),
-            done: HashSet::new(),
-            next: 0,
-            returned: BTreeSet::new(),
-            attempt: 0,
-            width: 0,
-            failures: 0,
-            held_until: None,
-            avoid: Vec::new(),
-            pages: BTreeSet::new(),
-            ending: false,
-        }
-    }
-
-    /// Whether it may have tasks, now or later, without waiting for other jobs.
-    fn is_active(&self) -> bool {
-        self.ended.is_none() && !self.waits_for_others
-    }
-
-    fn remaining(&self) -> u32 {
-        self.spec.tasks - self.done.len() as u32
-    }
-
-    /// The lowest tasks that could start, up to `limit`.
-    fn pending(&self, limit: usize) -> Vec<u32> {
-        // A returned task may lie beyond `next`, and named twice it would be
-        // placed twice.
-        let fresh = (self.next..self.spec.tasks).filter(|t| {
-            !self.done.contains(t) && !self.bound.contains_key(t) && !self.returned.contains(t)
-        });
-        self.returned.iter().copied().chain(fresh).take(limit).collect()
-    }
-
-    /// Whether a page holds places whose start waits for its record.
-    fn awaits_record(&self, page: u32, size: u32) -> bool {
-        let range = page * size..(page + 1).saturating_mul(size);
-        self.bound.range(range).any(|(_, b)| !b.durable)
-    }
-
-    fn page(&self, page: u32, size: u32) -> Page {
-        let range = page * size..(page + 1).saturating_mul(size).min(self.spec.tasks);
-        let bound = self
-            .bound
-            .range(range.clone())
-            .map(|(t, b)| (*t, b.attempt, b.machine.clone(), b.session, b.zone))
-            .collect();
-        let mut done: Vec<(u32, u32)> = Vec::new();
-        for task in range.filter(|t| self.done.contains(t)) {
-            match done.last_mut() {
-                Some((first, n)) if *first + *n == task => *n += 1,
-                _ => done.push((task, 1)),
-            }
-        }
-        let width = (page == 0 && self.width > 0).then_some(self.width);
-        Page { attempt: self.attempt, width, bound, done }
-    }
-
-    fn grace_s(&self) -> f64 {
-        // A little above what the job needs: the order takes its time.
-        if self.spec.checkpoint_s > 0.0 { self.spec.save_s * 1.5 } else { 0.0 }
-    }
-}
-
 /// The report shows a higher token: someone else leads.
 #[derive(Debug, PartialEq)]
 pub struct Deposed;
@@ -185,6 +67,12 @@
     fleet: Fleet,
     usage: HashMap<Arc<str>, TeamUse>,
     dirty: BTreeSet<(JobId, u32)>,
+    /// Pages that are too large to be written, until a task leaves them.
+    oversized: BTreeSet<(JobId, u32)>,
+    /// Tasks to stop so that such a page can be written.
+    stop_later: BTreeSet<TaskKey>,
+    /// Every member knows pages of smaller ranges, see `pages`.
+    small_pages: bool,
     inflight: BTreeSet<(JobId, u32)>,
     ending: BTreeSet<JobId>,
     /// Jobs cancelled with another one whose own end records are under way.
@@ -232,6 +120,9 @@
             fleet: Fleet::default(),
             usage: HashMap::new(),
             dirty: BTreeSet::new(),
+            oversized: BTreeSet::new(),
+            stop_later: BTreeSet::new(),
+            small_pages: false,
             inflight: BTreeSet::new(),
             ending: BTreeSet::new(),
             cancelling: BTreeSet::new(),
@@ -268,7 +159,13 @@
             self.follow_dependencies(id, picture, now);
             return;
         }
-        let mut job = Job::new(entry.spec.clone(), entry.version, now);
+        let page_tasks = pages::tasks_per_page(&self.settings, &entry.spec, self.small_pages);
+        let mut job = Job::new(entry.spec.clone(), entry.version, page_tasks, now);
+        let known = picture.pages.get(id).is_some_and(|pages| !pages.is_empty());
+        if known {
+            // Pages written before keep their layout.
+            job.page_tasks = self.settings.page_tasks();
+        }
         let ended = picture.ends.contains_key(id) || picture.dependencies.is_cancelled(id);
         job.ended = ended.then_some(now);
         job.waits_for_others = picture.dependencies.waits(id);
@@ -282,6 +179,7 @@
                 }
             };
             job.pages.insert(*number);
+            job.page_tasks = page.tasks.filter(|tasks| *tasks > 0).unwrap_or(job.page_tasks);
             job.attempt = job.attempt.max(page.attempt);
             job.width = job.width.max(page.width.unwrap_or(0));
             for (first, n) in page.done {
@@ -311,6 +209,7 @@
                 use_team(&mut self.usage, &job.spec, 1.0);
             }
         }
+        job.give_up_part_of_a_gang(now);
         if job.ended.is_some() || job.remaining() == 0 {
             self.ending.insert(id.clone());
         }
@@ -383,6 +282,9 @@
             self.expire_sessions(now, alone);
             self.drain(now);
             self.press_ended(now);
+            for key in std::mem::take(&mut self.stop_later) {
+                self.stop(&key, false, now);
+            }
         }
         // Without the state service nothing new can be made durable, and an
         // old picture is no ground for returning machines.
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -101,6 +101,7 @@
         let mine = machine.mine;
         let Some(job) = self.jobs.get_mut(&key.0) else { return };
         let ended = job.ended.is_some();
+        let may_start = job.bound.get(&key.1).is_some_and(|binding| job.may_start(binding));
         let Some(binding) = job.bound.get_mut(&key.1) else { return };
         if binding.session != report.session {
             return;
@@ -144,12 +145,7 @@
                 info!(machine = %report.machine, task = ?key, "the machine does not carry out orders");
                 self.gone(key, now);
             }
-            None if mine
-                && binding.durable
-                && reported.is_none()
-                && !ended
-                && binding.stop.is_none() =>
-            {
+            None if mine && may_start && reported.is_none() && !ended && binding.stop.is_none() => {
                 orders.push(Order {
                     op: Op::Start,
                     task: task_name(&key.0, key.1),
@@ -181,7 +177,6 @@
                 continue;
             }
             if task.state == TaskState::Exited {
-                let page = (key.0.clone(), key.1 / self.settings.page_tasks());
                 // A job's last exit is durable only with the job's end.
                 let finishing = job.is_some_and(|j| j.remaining() == 0);
                 // While it is listed, a late start order has no effect.
@@ -190,11 +185,7 @@
                     .machines
                     .get(&report.machine)
                     .is_some_and(|m| m.unsure.contains(&(key.clone(), task.attempt)));
-                if !finishing
-                    && !unsure
-                    && !self.dirty.contains(&page)
-                    && !self.inflight.contains(&page)
-                {
+                if !finishing && !unsure && !self.unwritten(key) {
                     orders.push(Order {
                         op: Op::Forget,
                         task: task.task.clone(),
@@ -286,7 +277,6 @@
             job.returned.insert(key.1);
         }
         use_team(&mut self.usage, &job.spec, -1.0);
-        self.dirty.insert((key.0.clone(), key.1 / self.settings.page_tasks()));
         if let Some(machine) = self.fleet.machines.get_mut(&binding.machine) {
             machine.bound.remove(key);
             if machine.bound.is_empty() {
@@ -304,6 +294,7 @@
         if job.ended.is_some() || job.remaining() == 0 {
             self.ending.insert(key.0.clone());
         }
+        self.mark_page(key);
         self.changed = true;
         self.round_due = true;
     }
@@ -358,7 +349,7 @@
                 }
                 let stop =
                     if job.ended.is_some() { Some(0.0) } else { binding.stop.map(|s| s.grace_s) };
-                let start = stop.is_none() && !binding.seen && commanded;
+                let start = stop.is_none() && !binding.seen && commanded && job.may_start(binding);
                 if start {
                     machine.unsure.insert((key.clone(), binding.attempt));
                 } else if stop.is_none()
--- a/src/election.rs
+++ b/src/election.rs
@@ -92,7 +92,7 @@
         Err(error) => {
             // Lost, or unsure: the picture tells who leads. An unsure try of
             // ours that succeeded shows up there under our incarnation.
-            if matches!(error, StateError::Refused(_)) {
+            if matches!(error, StateError::Refused(_) | StateError::Rejected(_)) {
                 tokio::time::sleep(ttl / 8).await;
             }
             let _ = node.fresh().await;
--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
-use tracing::{debug, info, warn};
+use tracing::{debug, error, info, warn};
 
 use super::{Node, until};
 use crate::{
@@ -49,9 +49,13 @@
         let now = Instant::now();
         let paused = node.in_doubt();
         let alone = lock(&node.peers.promises).alone_since(now);
+        let small_pages = node.peers.all_know_small_pages(&node.settings.members);
         let due = {
             let picture = lock(&node.picture);
             node.with_leader(version, |leader| {
+                if small_pages {
+                    leader.allow_small_pages();
+                }
                 leader.tick(now, paused, alone);
                 leader.took(now, now.elapsed());
                 if told + report * 10 < now {
@@ -96,6 +100,13 @@
                 break settle(&node, version, commit.kind, true);
             }
             Err(StateError::Refused(_)) => tokio::time::sleep(pause).await,
+            Err(StateError::Rejected(reason)) => {
+                // Tried again only after a while, in case its content is
+                // another by then. It says nothing of who leads.
+                error!(%reason, kind = ?commit.kind, "the state service takes no such write");
+                tokio::time::sleep(node.settings.worker_lease()).await;
+                break settle(&node, version, commit.kind, false);
+            }
             Err(error) => {
                 debug!(%error, "a write is unsure or failed");
                 while node.fresh().await.is_err() {
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -5,6 +5,7 @@
 
 use super::Node;
 use crate::{
+    peers::Message,
     protocol::{Heartbeat, JobState, Told, Write},
     state::lock,
     store::{self, End},
@@ -64,6 +65,12 @@
         }
     }
 
+    /// Takes in what another controller says.
+    pub fn on_message(&self, message: Message) {
+        self.peers.note_features(&message.heartbeat.member, message.features);
+        self.on_heartbeat(message.heartbeat);
+    }
+
     pub fn on_heartbeat(&self, heartbeat: Heartbeat) {
         let mut term = lock(&self.term);
         if term.as_ref().is_some_and(|t| t.token < heartbeat.token) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -130,6 +130,7 @@
         let target = settings.report() / 2;
         let ceiling = settings.cluster.quota.fd_limit as usize / 4;
         let incarnation = rng.random();
+        let members = settings.members.iter().map(|m| m.member.clone()).collect();
         Arc::new(Self {
             state,
             cloud,
@@ -137,7 +138,7 @@
             requests,
             admission: AdmissionLimit::new(target, ceiling),
             picture: Mutex::default(),
-            peers: Peers::new(&settings, incarnation),
+            peers: Peers::new(members, settings.caretaking_promise(), incarnation),
             settings,
             lead_changed: Notify::new(),
             incarnation,
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -15,6 +15,8 @@
 /// How often an acceptance is tried whose dependencies end meanwhile.
 const ACCEPT_TRIES: u32 = 4;
 
+const TOO_LONG: &str = "its description is too long to be stored";
+
 impl Node {
     pub async fn submit(&self, body: &[u8]) -> Result<UserReply, Trouble> {
         let spec = match JobSpec::parse(body) {
@@ -45,7 +47,8 @@
             return Ok(UserReply::Malformed("can't be stored".into()));
         };
         if value.get().len() > self.settings.state_limits().value_bytes {
-            return Ok(UserReply::Malformed("its description is too long".into()));
+            let refusal = UserReply::Malformed(TOO_LONG.into());
+            return self.refuse(&spec.id, refusal).await;
         }
         let writes = vec![Write::Put { key: store::job_key(&spec.id), value, lease: None }];
         for _ in 0..ACCEPT_TRIES {
@@ -56,6 +59,10 @@
                     return self.accepted(&spec, all).await;
                 }
                 Err(StateError::Refused(_)) => return Err(Trouble::State),
+                Err(StateError::Rejected(_)) => {
+                    let refusal = UserReply::Malformed(TOO_LONG.into());
+                    return self.refuse(&spec.id, refusal).await;
+                }
                 Err(error) => {
                     // Somebody created it, maybe an earlier try of ours.
                     let reply = self.status(&spec.id).await?;
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -7,7 +7,7 @@
 //! and a leader that hears no worker learn that workers live.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -31,8 +31,8 @@
     caretaking::{Horizon, Promises},
     http::accept,
     node::Node,
-    protocol::Heartbeat,
-    settings::{Member, Settings},
+    protocol::{Features, Heartbeat},
+    settings::Member,
     state::lock,
 };
 
@@ -45,6 +45,18 @@
 /// which controllers of another version pass over.
 const HEARTBEAT: u8 = 1;
 const TOLD: u8 = 2;
+const FEATURES: u8 = 3;
+
+/// What this version can do.
+const OWN_FEATURES: Features = Features { small_pages: true };
+
+/// What one frame says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Message {
+    pub heartbeat: Heartbeat,
+    /// What the sender's version can do; an older one says nothing of it.
+    pub features: Features,
+}
 
 /// A frame is a list of sections, each with its kind. This outer form is for
 /// ever.
@@ -52,17 +64,19 @@
     let told = heartbeat.told.take();
     let mut sections = vec![(HEARTBEAT, bitcode::encode(&heartbeat))];
     sections.extend(told.map(|told| (TOLD, bitcode::encode(&told))));
+    sections.push((FEATURES, bitcode::encode(&OWN_FEATURES)));
     bitcode::encode(&sections)
 }
 
 /// Reads the sections that this version knows. What it can't read it takes for
 /// unsaid; none if there is no heartbeat that it can read.
-pub fn decode(frame: &[u8]) -> Option<Heartbeat> {
+pub fn decode(frame: &[u8]) -> Option<Message> {
     let sections: Vec<(u8, Vec<u8>)> = bitcode::decode(frame).ok()?;
     let section = |kind: u8| sections.iter().find(|(k, _)| *k == kind).map(|(_, body)| body);
     let mut heartbeat: Heartbeat = bitcode::decode(section(HEARTBEAT)?).ok()?;
     heartbeat.told = section(TOLD).and_then(|body| bitcode::decode(body).ok());
-    Some(heartbeat)
+    let features = section(FEATURES).and_then(|body| bitcode::decode(body).ok());
+    Some(Message { heartbeat, features: features.unwrap_or_default() })
 }
 
 fn codec() -> LengthDelimitedCodec {
@@ -74,19 +88,22 @@
     heard: Mutex<HashMap<String, (Heartbeat, Instant)>>,
     pub promises: Mutex<Promises>,
     pub horizon: Mutex<Horizon>,
+    /// Members that have said that they know small pages.
+    know_small_pages: Mutex<HashSet<String>>,
     /// An unreadable heartbeat was logged: whoever sends them sends many.
     garbled: AtomicBool,
 }
 
 impl Peers {
-    pub fn new(settings: &Settings, incarnation: u64) -> Self {
-        let members = settings.members.iter().map(|m| m.member.clone()).collect();
-        let promise = settings.caretaking_promise();
+    /// `members`: the other controllers. `promise`: for how long each leader's
+    /// heartbeat keeps this one from answering workers.
+    pub fn new(members: Vec<String>, promise: Duration, incarnation: u64) -> Self {
         let promises = Promises::new(members, incarnation, promise, Instant::now());
         Self {
             heard: Mutex::default(),
             promises: Mutex::new(promises),
             horizon: Mutex::default(),
+            know_small_pages: Mutex::default(),
             garbled: AtomicBool::new(false),
         }
     }
@@ -110,6 +127,20 @@
         lock(&self.heard).insert(heartbeat.member.clone(), (heartbeat, Instant::now()));
     }
 
+    /// Notes what a member's version can do, for good.
+    pub fn note_features(&self, member: &str, features: Features) {
+        let mut known = lock(&self.know_small_pages);
+        if features.small_pages && !known.contains(member) {
+            known.insert(member.to_owned());
+        }
+    }
+
+    /// Whether every one of these members knows small pages.
+    pub fn all_know_small_pages(&self, members: &[Member]) -> bool {
+        let known = lock(&self.know_small_pages);
+        members.iter().all(|member| known.contains(&member.member))
+    }
+
     /// Whether another controller was heard lately and says so of itself.
     pub fn any(&self, within: Duration, says: impl Fn(&Heartbeat) -> bool) -> bool {
         lock(&self.heard).values().any(|(heartbeat, at)| at.elapsed() < within && says(heartbeat))
@@ -138,7 +169,7 @@
     let mut frames = FramedRead::new(stream, codec());
     while let Ok(Some(Ok(frame))) = timeout(silence, frames.next()).await {
         match decode(&frame) {
-            Some(heartbeat) => node.on_heartbeat(heartbeat),
+            Some(message) => node.on_message(message),
             // A newer version may say what this one can't read, and later
             // frames may be readable: the link stays.
             None if !node.peers.garbled.swap(true, Ordering::Relaxed) => {
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -528,6 +528,15 @@
     pub told: Option<Told>,
 }
 
+/// What the sender's version can do, beyond the one that first had no such
+/// section. It says so for good: a member never returns to an older version
+/// once it has run this one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, bitcode::Encode, bitcode::Decode)]
+pub struct Features {
+    /// It reads and writes pages whose records name the range of their tasks.
+    pub small_pages: bool,
+}
+
 /// All cancellations in the sender's picture beyond a revision.
 #[derive(Clone, Debug, PartialEq, bitcode::Encode, bitcode::Decode)]
 pub struct Told {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -24,6 +24,9 @@
 /// A submission with names of usual length must fit one value.
 const LEAST_VALUE_KB: f64 = 0.5;
 const BYTES_PER_KB: f64 = 1024.0;
+/// A page whose size follows today's limit must fit the coming one as long as
+/// few of its tasks are bound: what is kept of completed ones takes a tenth.
+const MOST_SHRINKING: f64 = 8.0;
 
 /// One line that names the file, the field and the reason.
 #[derive(Debug, Error, PartialEq)]
@@ -337,6 +340,10 @@
             return Err(("cluster.state.txn_ops", "must be at least 4"));
         }
         c.state.next.check()?;
+        if c.state.next.value_kb.is_some_and(|kb| kb < c.state.value_kb / MOST_SHRINKING) {
+            let reason = "must be at least an eighth of value_kb, or stored pages would not fit";
+            return Err(("cluster.state.next.value_kb", reason));
+        }
         if c.quota.fd_limit < 32 {
             return Err(("cluster.quota.fd_limit", "must be at least 32"));
         }
@@ -491,14 +498,22 @@
     /// from its number alone. `controller/pages.rs` keeps the content within
     /// the smaller limit.
     pub fn page_tasks(&self) -> u32 {
-        tasks_per_page(self.cluster.state.value_kb * BYTES_PER_KB)
+        tasks_per_page((self.cluster.state.value_kb * BYTES_PER_KB) as usize)
+    }
+
+    /// Tasks of a page that fits a value also after the limits fall, even when
+    /// all its tasks are bound.
+    pub fn small_page_tasks(&self) -> u32 {
+        tasks_per_page(self.state_limits().value_bytes)
     }
 }
 
-fn tasks_per_page(value_bytes: f64) -> u32 {
-    const BINDING_BYTES: f64 = 64.0;
+/// A page's record needs no more than this for each task that is bound.
+pub const LARGEST_BINDING_BYTES: usize = 64;
+
+fn tasks_per_page(value_bytes: usize) -> u32 {
     const MOST_TASKS: u32 = 1024;
-    ((value_bytes / BINDING_BYTES) as u32).clamp(1, MOST_TASKS)
+    u32::try_from(value_bytes / LARGEST_BINDING_BYTES).unwrap_or(MOST_TASKS).clamp(1, MOST_TASKS)
 }
 
 #[cfg(test)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,6 +31,10 @@
     /// 503 or 429: certainly not carried out.
     #[error("refused with {0}")]
     Refused(StatusCode),
+    /// 400: malformed, or larger than the service takes. Certainly not carried
+    /// out, and no repeat will be.
+    #[error("rejected: {0}")]
+    Rejected(String),
     /// 409: these keys had another version.
     #[error("conflict on {0:?}")]
     Conflict(Vec<String>),
@@ -87,6 +91,7 @@
                 Err(e) => StateError::Unsure(e),
             },
             400 if answer.body.windows(13).any(|w| w == b"no such lease") => StateError::NoLease,
+            400 => StateError::Rejected(String::from_utf8_lossy(&answer.body).into_owned()),
             other => StateError::Unsure(CallError::Malformed(format!("status {other}"))),
         }
     }
@@ -323,6 +328,13 @@
         group
     }
 
+    async fn send_alone(&self, change: Change) {
+        self.requests.take(1.0).await;
+        self.writes.take(change.writes.len() as f64).await;
+        let result = self.api.multi(&merge(std::slice::from_ref(&change))).await;
+        let _ = change.reply.send(result);
+    }
+
     async fn send(&self, mut group: Vec<Change>) {
         let deadline = Instant::now() + self.timeout;
         loop {
@@ -342,6 +354,13 @@
                 {
                     tokio::time::sleep(self.timeout / 8).await;
                 }
+                // One that is too large must not take the others with it.
+                Err(StateError::Rejected(_)) if group.len() > 1 => {
+                    for change in group {
+                        self.send_alone(change).await;
+                    }
+                    return;
+                }
                 Err(StateError::Conflict(keys)) if group.len() > 1 => {
                     let touches = |c: &Change| c.conditions.iter().any(|w| keys.contains(&w.key));
                     let (failed, rest): (Vec<_>, Vec<_>) = group.into_iter().partition(touches);
@@ -369,6 +388,7 @@
     }
 }
 
+/// What leaves in one transaction: every change as a whole.
 fn merge(group: &[Change]) -> Transaction {
     let mut txn = Transaction::default();
     for change in group {
@@ -386,6 +406,7 @@
 fn copy(error: &StateError) -> StateError {
     match error {
         StateError::Refused(status) => StateError::Refused(*status),
+        StateError::Rejected(reason) => StateError::Rejected(reason.clone()),
         StateError::Conflict(keys) => StateError::Conflict(keys.clone()),
         StateError::NoLease => StateError::NoLease,
         StateError::TooOld => StateError::TooOld,
--- a/src/store.rs
+++ b/src/store.rs
@@ -77,6 +77,9 @@
     /// Completed tasks as (first, how many).
     #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
     pub done: Vec<(u32, u32)>,
+    /// Tasks that each page of this job covers, if not the usual number.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub tasks: Option<u32>,
 }
 
 impl Page {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -21,7 +21,7 @@
         ListedMachine, MachineId, MachineList, MachineState, MachineType, Op, Order, Rental,
         Report, TaskReport, TaskState, Transaction, Write,
     },
-    settings::{Member, Settings},
+    settings::{Member, NextStateLimits, Settings},
     state::{StateApi, StateError},
     store,
 };
@@ -66,6 +66,14 @@
 fd_limit = 600
 "#;
 
+/// With limits of the state service that are to come.
+pub fn settings_with_coming_limits(member: &str) -> Settings {
+    let mut settings = settings(member);
+    settings.cluster.state.next =
+        NextStateLimits { rps: None, write_rps: Some(42.0), value_kb: Some(2.0), txn_ops: Some(8) };
+    settings
+}
+
 pub fn settings(member: &str) -> Settings {
     Settings::parse("test.toml", &SETTINGS.replace("m-0", member)).expect("valid settings")
 }
@@ -121,6 +129,22 @@
     mute: HashMap<String, u32>,
     /// How long an answer takes beyond the usual.
     slow: Duration,
+    limits: Limits,
+    /// Transactions that were larger than that.
+    rejected: u32,
+}
+
+/// What the state service takes: bytes of a value, writes of a transaction.
+#[derive(Clone, Copy)]
+struct Limits {
+    value_bytes: usize,
+    writes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { value_bytes: 8 * 1024, writes: 24 }
+    }
 }
 
 impl Store {
@@ -152,6 +176,17 @@
     }
 
     fn multi(&mut self, txn: &Transaction) -> Result<u64, StateError> {
+        let too_large = |write: &Write| match write {
+            Write::Put { value, .. } => value.get().len() > self.limits.value_bytes,
+            Write::Delete { .. } => false,
+        };
+        if txn.writes.len() > self.limits.writes
+            || txn.conditions.len() > self.limits.writes * 4
+            || txn.writes.iter().any(too_large)
+        {
+            self.rejected += 1;
+            return Err(StateError::Rejected("too large".into()));
+        }
         let version = |key: &String| self.kv.get(key).map_or(0, |(_, v, _)| *v);
         let failed: Vec<String> = txn
             .conditions
@@ -167,7 +202,6 @@
             match write {
                 Write::Put { key, value, lease } => {
                     assert!(lease.is_none_or(|l| self.leases.contains_key(&l)), "lease ended");
-                    assert!(value.get().len() <= 8 * 1024, "value too large");
                     self.kv.insert(key.clone(), (value.clone(), self.revision, *lease));
                     self.log.push((self.revision, key.clone(), Some(value.clone())));
                 }
@@ -210,6 +244,16 @@
         }
     }
 
+    /// The limits fall, without notice.
+    pub fn lower_limits(&self, value_bytes: usize, writes: usize) {
+        lock(&self.0).limits = Limits { value_bytes, writes };
+    }
+
+    /// How many transactions were too large.
+    pub fn rejected(&self) -> u32 {
+        lock(&self.0).rejected
+    }
+
     pub fn set_slow(&self, slow: Duration) {
         lock(&self.0).slow = slow;
     }
@@ -448,11 +492,14 @@
     severed: BTreeSet<usize>,
     starts: u32,
     sold_out: bool,
+    coming_limits: bool,
     seeds: u64,
     specs: HashMap<String, JobSpec>,
     /// When users were told that these are cancelled, and what else is final.
     told: HashMap<String, Instant>,
     finals: HashMap<String, JobState>,
+    /// The records, for what tasks may start.
+    store: MemState,
     /// How long a task runs; services never end.
     run: HashMap<String, Duration>,
 }
@@ -528,8 +575,23 @@
 impl World {
     /// Three controllers and some ordinary machines in zone `a`.
     pub async fn new(machines: u32) -> Self {
+        Self::default().begin(machines).await
+    }
+
+    /// The same, where limits of the state service are to come.
+    pub async fn with_coming_limits(machines: u32) -> Self {
         let world = Self::default();
-        lock(&world.site).nodes = vec![None, None, None];
+        lock(&world.site).coming_limits = true;
+        world.begin(machines).await
+    }
+
+    async fn begin(self, machines: u32) -> Self {
+        let world = self;
+        {
+            let mut site = lock(&world.site);
+            site.nodes = vec![None, None, None];
+            site.store = world.state.clone();
+        }
         for node in 0..3 {
             world.start_node(node);
         }
@@ -639,7 +701,9 @@
         };
         let (state, cloud) = (self.state.client(&name), Arc::new(self.clone()));
         let workers = Arc::new(MemWorkers { world: self.clone(), at });
-        let mut settings = settings(&name);
+        let coming = lock(&self.site).coming_limits;
+        let mut settings =
+            if coming { settings_with_coming_limits(&name) } else { settings(&name) };
         // Machines stay long enough for a story to end.
         settings.operator.idle_boots = 10.0;
         settings.members = (0..3)
@@ -671,7 +735,7 @@
                     {
                         // As over the wire.
                         let frame = peers::encode(sender.heartbeat(&format!("m-{to}")));
-                        receiver.on_heartbeat(peers::decode(&frame).expect("a heartbeat"));
+                        receiver.on_message(peers::decode(&frame).expect("a heartbeat"));
                     }
                 }
             }
@@ -1032,6 +1096,12 @@
                 }
             }
         }
+        for needed in &spec.dependencies {
+            let done = self.store.value(&store::end_key(needed));
+            if !done.is_some_and(|end| end.contains(r#""s":"done""#)) {
+                self.broken.push(format!("too_early: {task} before {needed}"));
+            }
+        }
         if &*spec.team == "red" && team > 16.0 {
             self.broken.push(format!("quota: {team} GPUs with {task}"));
         }
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -6,17 +6,18 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use common::{job, machine_type, settings};
+use common::{job, machine_type, settings, settings_with_coming_limits};
 use serde_json::json;
 use stonewheel::{
     controller::{Commit, CommitKind, Leader},
     protocol::{Cause, JobSpec, MachineType, Op, Order, Report, TaskReport, TaskState, Write},
-    settings::Objective,
+    settings::{Objective, Settings},
     store::{self, Change, Page, Picture},
 };
 use tokio::time::Instant;
 
 struct Duty {
+    settings: Settings,
     picture: Picture,
     leader: Leader,
     revision: u64,
@@ -28,23 +29,38 @@
 
 impl Duty {
     fn new(token: u64) -> Self {
+        Self::with(settings("m-0"), token)
+    }
+
+    fn with(mut settings: Settings, token: u64) -> Self {
         let mut picture = Picture { loaded: true, ..Picture::default() };
         picture.types = Some((1, Arc::new(vec![machine_type()])));
-        Self::over(picture, token)
+        // Returning idle machines is no part of these stories.
+        settings.operator.idle_boots = 1e3;
+        Self::over(settings, picture, token)
     }
 
-    fn over(picture: Picture, token: u64) -> Self {
+    fn over(settings: Settings, picture: Picture, token: u64) -> Self {
         let now = Instant::now();
-        let mut settings = settings("m-0");
-        // Returning idle machines is no part of these stories.
-        settings.operator.idle_boots = 1e3;
-        let leader = Leader::new(Arc::new(settings), 1, token, &picture, now);
-        Self { picture, leader, revision: 100, now, alone: Some(now), seqs: BTreeMap::new() }
+        let leader = Leader::new(Arc::new(settings.clone()), 1, token, &picture, now);
+        Self {
+            settings,
+            picture,
+            leader,
+            revision: 100,
+            now,
+            alone: Some(now),
+            seqs: BTreeMap::new(),
+        }
     }
 
     /// The next leader, over the records that this one left.
     fn succeed(self, token: u64) -> Self {
-        Self { seqs: self.seqs, revision: self.revision, ..Self::over(self.picture, token) }
+        Self {
+            seqs: self.seqs,
+            revision: self.revision,
+            ..Self::over(self.settings, self.picture, token)
+        }
     }
 
     /// Begins anew with an aim for the usual class.
@@ -921,3 +937,170 @@
     next.settle();
     assert_eq!(next.bound("j-000001"), [(0, "n-2".to_owned())]);
 }
+
+/// The smaller of the limits in the settings, in bytes.
+const VALUE_BYTES: usize = 2048;
+
+fn largest_page(picture: &Picture) -> usize {
+    let pages = picture.pages.values().flat_map(|pages| pages.values());
+    pages.map(|page| page.raw.get().len()).max().unwrap_or(0)
+}
+
+/// Machines with room for many tasks of the kind `tiny`.
+fn many_tiny_tasks() -> Duty {
+    let mut duty = Duty::with(settings_with_coming_limits("m-0"), 5);
+    for machine in 0..4 {
+        duty.report(&format!("n-00000{machine}"), 1, &[]);
+    }
+    duty
+}
+
+fn tiny(tasks: u32, shape: &str) -> serde_json::Value {
+    json!({"Shape": shape, "Spokes": tasks, "Cores": 1.0, "Gpus": 0.0, "MemoryGb": 1.0})
+}
+
+#[tokio::test(start_paused = true)]
+async fn places_are_given_only_as_far_as_their_page_fits_the_coming_limit() {
+    let mut duty = many_tiny_tasks();
+    duty.submit("j-000001", tiny(128, "batch"));
+    duty.settle();
+    let first = duty.bound("j-000001").len();
+    assert!((60..128).contains(&first), "{first} of 128 tasks have a place");
+    assert!(largest_page(&duty.picture) <= VALUE_BYTES);
+    // As they are done, others take their places; the job gets to its end.
+    for _ in 0..6 {
+        for machine in 0..4 {
+            let name = format!("n-00000{machine}");
+            let starts = duty.report(&name, 1, &[]);
+            let done: Vec<_> = ops(&starts, Op::Start)
+                .into_iter()
+                .map(|order| exited(order, Cause::Done))
+                .collect();
+            duty.report(&name, 1, &done);
+        }
+        duty.pass(2.0);
+        duty.settle();
+        assert!(largest_page(&duty.picture) <= VALUE_BYTES);
+    }
+    assert!(duty.picture.ends.contains_key("j-000001"));
+}
+
+/// A page that a version without the coming limits filled with `tasks` places.
+fn page_of_the_version_before(duty: &mut Duty, id: &str, tasks: u32) {
+    let bound: Vec<_> =
+        (0..tasks).map(|task| (task, 1, format!("n-00000{}", task % 4), 1, 0)).collect();
+    let value = store::value(&json!({"a": 1, "w": tasks, "b": bound})).expect("json");
+    assert!(value.get().len() > VALUE_BYTES);
+    duty.revision += 1;
+    duty.picture.put(&store::page_key(id, 0), value, duty.revision);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_page_too_large_for_the_coming_limit_is_written_once_some_tasks_have_left_it() {
+    let mut before = Duty::with(settings_with_coming_limits("m-0"), 4);
+    before.submit("j-000001", tiny(120, "batch"));
+    page_of_the_version_before(&mut before, "j-000001", 120);
+    let mut duty = before.succeed(5);
+    let running: Vec<Vec<TaskReport>> = (0..4)
+        .map(|machine| {
+            let here = (0..120).filter(|task| task % 4 == machine);
+            here.map(|task| TaskReport {
+                task: format!("j-000001/{task}"),
+                attempt: 1,
+                state: TaskState::Running,
+                cause: None,
+                saved: None,
+            })
+            .collect()
+        })
+        .collect();
+    for (machine, tasks) in running.iter().enumerate() {
+        duty.report(&format!("n-00000{machine}"), 1, tasks);
+    }
+    // One task is done: its exit is not cleared before it is durable.
+    let mut first = running[0].clone();
+    (first[0].state, first[0].cause) = (TaskState::Exited, Some(Cause::Done));
+    duty.report("n-000000", 1, &first);
+    duty.settle();
+    assert!(duty.page("j-000001").done.is_empty(), "the page is still that of before");
+    let orders = duty.report("n-000000", 1, &first);
+    assert!(ops(&orders, Op::Forget).is_empty());
+    // Some of its tasks are told to stop; when they are gone it is written.
+    let mut stopped = 0;
+    for (machine, tasks) in running.iter().enumerate() {
+        let name = format!("n-00000{machine}");
+        let mut tasks = if machine == 0 { first.clone() } else { tasks.clone() };
+        for stop in ops(&duty.report(&name, 1, &tasks), Op::Stop) {
+            let task = tasks.iter_mut().find(|task| task.task == stop.task).expect("known");
+            (task.state, task.cause) = (TaskState::Exited, Some(Cause::Stopped));
+            stopped += 1;
+        }
+        duty.report(&name, 1, &tasks);
+    }
+    assert!((1..80).contains(&stopped), "{stopped} tasks were stopped");
+    duty.settle();
+    assert_eq!(duty.page("j-000001").done, [(0, 1)]);
+    assert!(largest_page(&duty.picture) <= VALUE_BYTES);
+    let orders = duty.report("n-000000", 1, &first[..1]);
+    assert_eq!(ops(&orders, Op::Forget).len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_gang_larger_than_a_page_waits_until_all_members_know_small_pages() {
+    let mut duty = many_tiny_tasks();
+    duty.submit("j-000001", tiny(120, "ensemble"));
+    duty.settle();
+    assert!(duty.bound("j-000001").is_empty(), "part of a gang is no use");
+    duty.leader.allow_small_pages();
+    duty.pass(0.1);
+    let commits = duty.commits();
+    let pages = commits.len();
+    assert!(pages > 1, "its places take several pages");
+    // No task starts before the last of them is durable.
+    let mut commits = commits.into_iter();
+    for commit in commits.by_ref().take(pages - 1) {
+        duty.commit(vec![commit]);
+        for machine in 0..4 {
+            let orders = duty.report(&format!("n-00000{machine}"), 1, &[]);
+            assert!(ops(&orders, Op::Start).is_empty());
+        }
+    }
+    duty.commit(commits.collect());
+    assert!(largest_page(&duty.picture) <= VALUE_BYTES);
+    let mut starts = 0;
+    for machine in 0..4 {
+        starts += ops(&duty.report(&format!("n-00000{machine}"), 1, &[]), Op::Start).len();
+    }
+    assert_eq!(starts, 120);
+    // The next leader reads the same layout.
+    let mut next = duty.succeed(6);
+    assert_eq!(next.page("j-000001").tasks, Some(32));
+    let mut again = 0;
+    for machine in 0..4 {
+        again += ops(&next.report(&format!("n-00000{machine}"), 1, &[]), Op::Start).len();
+    }
+    assert_eq!(again, 120);
+}
+
+#[tokio::test(start_paused = true)]
+async fn part_of_a_gang_that_a_former_leader_bound_is_given_up() {
+    let mut duty = many_tiny_tasks();
+    duty.submit("j-000001", tiny(120, "ensemble"));
+    duty.leader.allow_small_pages();
+    duty.pass(0.1);
+    let first = duty.commits().remove(0);
+    duty.commit(vec![first]);
+    let mut next = duty.succeed(6);
+    next.leader.allow_small_pages();
+    for _ in 0..3 {
+        for machine in 0..4 {
+            let orders = next.report(&format!("n-00000{machine}"), 1, &[]);
+            assert!(ops(&orders, Op::Start).is_empty(), "nothing of the part starts");
+        }
+        next.pass(1.0);
+    }
+    next.settle();
+    assert!(!next.bound("j-000001").is_empty(), "it is placed anew");
+    let attempts = next.page("j-000001").bound.iter().map(|(_, attempt, ..)| *attempt).max();
+    assert!(attempts > Some(1));
+}
--- /dev/null
+++ b/tests/upgrade.rs
@@ -0,0 +1,108 @@
+//! The records of the version before, as fixed samples, and the state service's
+//! limits that fall while the service runs.
+
+#[allow(dead_code)] // Each test file uses its own part.
+mod common;
+
+use std::time::Duration;
+
+use common::World;
+use serde_json::{json, value::RawValue};
+use stonewheel::{
+    protocol::{JobSpec, JobState},
+    store::{self, End, Lead, Page, Picture},
+};
+use tokio::time::sleep;
+
+const JOB: &str = r#"{"Ref":"j-000007","Grain":"train","Crew":"blue","Shape":"ensemble","Rank":"best_effort","Spokes":3,"Cores":2.0,"Gpus":1.0,"MemoryGb":8.0,"Mould":"img","ImageGb":1.5,"Frames":["g8"],"Yard":"a","Together":true,"Scatter":false,"Driftwood":false,"ReckonS":20.0,"NotchS":10.0,"StashS":2.0,"DueS":90.0}"#;
+const PAGE: &str = r#"{"a":4,"w":3,"b":[[0,4,"n-000231",1,0],[2,3,"n-000007",12,1]],"d":[[1,1]]}"#;
+const END: &str = r#"{"s":"aborted","d":1}"#;
+const LEAD: &str = r#"{"member":"m-1","incarnation":77,"token":5,"lease":9}"#;
+
+fn raw(text: &str) -> Box<RawValue> {
+    RawValue::from_string(text.into()).expect("json")
+}
+
+/// What is read of a sample is written as the same text again.
+fn stays<T: serde::Serialize + serde::de::DeserializeOwned>(sample: &str) -> T {
+    let read: T = serde_json::from_str(sample).expect("readable");
+    assert_eq!(store::value(&read).expect("json").get(), sample);
+    read
+}
+
+#[test]
+fn records_of_the_version_before_are_read_and_written_byte_for_byte() {
+    let spec: JobSpec = stays(JOB);
+    assert!(spec.dependencies.is_empty());
+    let page: Page = stays(PAGE);
+    assert_eq!((page.bound.len(), page.done_count()), (2, 1));
+    let end: End = stays(END);
+    assert_eq!(end.state, JobState::Cancelled);
+    let lead: Lead = stays(LEAD);
+    assert_eq!(lead.token, 5);
+}
+
+#[test]
+fn what_is_new_stands_in_fields_of_its_own() {
+    // The version before passes over fields that it doesn't know, and never
+    // writes a job's record again.
+    let with = JOB.replace("\"DueS\":90.0}", "\"DueS\":90.0,\"Awaits\":[\"j-000001\"]}");
+    let spec: JobSpec = stays(&with);
+    assert_eq!(spec.dependencies.len(), 1);
+    let page: Page = stays(&PAGE.replace("[[1,1]]}", "[[1,1]],\"t\":32}"));
+    assert_eq!(page.tasks, Some(32));
+}
+
+#[test]
+fn keys_of_a_later_version_are_passed_over() {
+    let mut picture = Picture::default();
+    for key in ["sw/later", "sw/z/j-000001", "sw/z/j-000001/3", "sw/j/x", "elsewhere"] {
+        assert!(picture.put(key, raw("{\"any\":1}"), 7).is_empty(), "{key}");
+        assert!(picture.delete(key, 8).is_none(), "{key}");
+    }
+    assert!(picture.jobs.is_empty() && picture.ends.is_empty() && picture.unreadable.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn when_the_limits_fall_nothing_that_is_written_is_too_large() {
+    let world = World::with_coming_limits(3).await;
+    let tiny = |tasks: u32| json!({"Spokes": tasks, "Gpus": 0.0, "Cores": 1.0, "MemoryGb": 1.0});
+    for id in ["j-000001", "j-000002", "j-000003"] {
+        world.runs_for(id, 6);
+    }
+    assert!(world.submit(0, "j-000001", tiny(128)).await.is_ok());
+    world.until("it runs", || world.starts() > 30).await;
+    world.state.lower_limits(2048, 8);
+    let mut pipeline = tiny(128);
+    pipeline["Awaits"] = json!(["j-000001"]);
+    assert!(world.submit(1, "j-000002", pipeline).await.is_ok());
+    let gang = json!({"Shape": "ensemble", "Spokes": 100, "Gpus": 0.0, "Cores": 1.0,
+        "MemoryGb": 1.0, "Awaits": ["j-000002"]});
+    assert!(world.submit(2, "j-000003", gang).await.is_ok());
+    world.until_state(0, "j-000003", JobState::Done).await;
+    assert_eq!(world.state.rejected(), 0);
+    assert!(world.broken().is_empty(), "{:?}", world.broken());
+}
+
+#[tokio::test(start_paused = true)]
+async fn limits_below_the_announced_ones_cost_no_leadership_and_no_loop() {
+    let world = World::with_coming_limits(3).await;
+    let leader = world.leader();
+    // Less than the settings say: a page of some tasks is refused.
+    world.state.lower_limits(100, 8);
+    let tiny = json!({"Spokes": 40, "Gpus": 0.0, "Cores": 1.0, "MemoryGb": 1.0});
+    let refused = world.submit(0, "j-000001", tiny.clone()).await;
+    assert!(matches!(refused, Ok(stonewheel::node::UserReply::Malformed(_))), "{refused:?}");
+    world.state.lower_limits(700, 8);
+    assert!(world.submit(0, "j-000002", tiny).await.is_ok());
+    let before = world.state.rejected();
+    sleep(Duration::from_secs(30)).await;
+    let tries = world.state.rejected() - before;
+    assert!((1..8).contains(&tries), "{tries} tries in 30 s");
+    assert_eq!(world.leader(), leader);
+    // Work that fits goes on meanwhile.
+    world.runs_for("j-000003", 3);
+    let small = json!({"Spokes": 2});
+    assert!(world.submit(1, "j-000003", small).await.is_ok());
+    world.until_state(1, "j-000003", JobState::Done).await;
+}
