--- a/src/state.rs
+++ b/src/state.rs
@@ -170,34 +170,77 @@
 }
 
 /// A token bucket that holds one second's worth, as the service's own does.
+///
+/// What can wait leaves a reserve for what can't: else the watch and the reads
+/// of a controller with a small share would take all of it, and a user's write
+/// stand in line behind them.
 pub struct Budget {
-    level: Mutex<(f64, f64, Instant)>,
+    level: Mutex<Level>,
+}
+
+struct Level {
+    /// Tokens a second.
+    rate: f64,
+    held: f64,
+    at: Instant,
+}
+
+/// How much of a second's worth a request must leave to others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reserve {
+    /// Writes and renewals of leases.
+    Nothing,
+    /// Reads that users wait for.
+    Quarter,
+    /// Watches: a read brings the same changes.
+    Half,
+}
+
+impl Reserve {
+    fn share(self) -> f64 {
+        match self {
+            Self::Nothing => 0.0,
+            Self::Quarter => 0.25,
+            Self::Half => 0.5,
+        }
+    }
 }
 
 impl Budget {
     pub fn new(rate: f64) -> Self {
-        Self { level: Mutex::new((rate, rate.max(1.0), Instant::now())) }
+        Self { level: Mutex::new(Level { rate, held: rate.max(1.0), at: Instant::now() }) }
     }
 
     /// Follows a change of share (leading or not).
     pub fn set_rate(&self, rate: f64) {
-        lock(&self.level).0 = rate;
+        lock(&self.level).rate = rate;
     }
 
     /// Takes `amount`, or says how long to wait for it.
-    fn try_take(&self, amount: f64) -> Result<(), Duration> {
+    fn try_take(&self, amount: f64, reserve: Reserve) -> Result<(), Duration> {
         let mut level = lock(&self.level);
         let now = Instant::now();
-        let (rate, held, at) = *level;
+        let rate = level.rate;
         let capacity = rate.max(amount).max(1.0);
-        let held = (held + rate * (now - at).as_secs_f64()).min(capacity);
-        let short = amount - held;
-        *level = (rate, if short > 0.0 { held } else { -short }, now);
-        if short > 0.0 { Err(Duration::from_secs_f64(short / rate.max(0.01))) } else { Ok(()) }
+        level.held = (level.held + rate * (now - level.at).as_secs_f64()).min(capacity);
+        level.at = now;
+        // A reserve that a full bucket can't hold would never be met.
+        let needed = (amount + capacity * reserve.share()).min(capacity);
+        if level.held < needed {
+            return Err(Duration::from_secs_f64((needed - level.held) / rate.max(0.01)));
+        }
+        level.held -= amount;
+        Ok(())
     }
 
+    /// Waits for `amount` tokens and takes them.
     pub async fn take(&self, amount: f64) {
-        while let Err(wait) = self.try_take(amount) {
+        self.take_leaving(amount, Reserve::Nothing).await;
+    }
+
+    /// The same, when so much stays for others.
+    pub async fn take_leaving(&self, amount: f64, reserve: Reserve) {
+        while let Err(wait) = self.try_take(amount, reserve) {
             // Timers fire in steps of a millisecond; shorter waits would spin.
             tokio::time::sleep(wait.max(Duration::from_millis(1))).await;
         }
