Watches and reads leave a reserve of the request budget to writes

The log now tells how long a submission took: the rest is the write budget, 2.25 a second for each controller that doesn't lead, while a pipeline's five or six submissions come to one of them at once.

--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -9,7 +9,7 @@
 use super::{Node, Trouble};
 use crate::{
     protocol::{Events, Write},
-    state::{StateError, lock},
+    state::{Reserve, StateError, lock},
     store::{Change, PREFIX},
 };
 
@@ -114,8 +114,8 @@
                 }
             }
         }
+        node.requests.take_leaving(1.0, Reserve::Half).await;
         let revision = lock(&node.picture).revision;
-        node.requests.take(1.0).await;
         let asked = Instant::now();
         match node.state.follow(PREFIX, revision, wait).await {
             Ok(events) => {
@@ -136,17 +136,18 @@
 pub(super) async fn read_duty(node: Arc<Node>) {
     let idle = node.settings.leader_lease() / 4;
     let spacing = Duration::from_secs_f64(
-        2.0 / node.settings.share(node.settings.state_limits().requests_per_s, false),
+        1.0 / node.settings.share(node.settings.state_limits().requests_per_s, false),
     );
     loop {
         let _ = tokio::time::timeout(idle, node.read_wanted.notified()).await;
-        let (loaded, revision) = {
-            let picture = lock(&node.picture);
-            (picture.loaded, picture.revision)
-        };
+        let loaded = lock(&node.picture).loaded;
+        if loaded {
+            node.requests.take_leaving(1.0, Reserve::Quarter).await;
+        }
+        // Whoever came while the budget was awaited shares the read.
         let waiting = std::mem::take(&mut *lock(&node.readers));
+        let revision = lock(&node.picture).revision;
         let result = if loaded {
-            node.requests.take(1.0).await;
             let asked = Instant::now();
             let answer = node.state.follow(PREFIX, revision, Duration::ZERO).await;
             let ok = answer.is_ok();
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -1,5 +1,6 @@
 //! What users ask: submissions, states, cancellations.
 
+use tokio::time::Instant;
 use tracing::info;
 
 use super::{Node, Trouble, UserReply};
@@ -19,6 +20,7 @@
 
 impl Node {
     pub async fn submit(&self, body: &[u8]) -> Result<UserReply, Trouble> {
+        let asked = Instant::now();
         let spec = match JobSpec::parse(body) {
             Ok(spec) => spec,
             // An accepted job stays accepted, whatever a repeat looks like.
@@ -51,11 +53,17 @@
             return self.refuse(&spec.id, refusal).await;
         }
         let writes = vec![Write::Put { key: store::job_key(&spec.id), value, lease: None }];
+        let checked_ms = asked.elapsed().as_millis();
         for _ in 0..ACCEPT_TRIES {
             let (conditions, all) = self.acceptance_conditions(&spec);
             match self.writer.commit(conditions, writes.clone()).await {
                 Ok(revision) => {
                     self.note_writes(&writes, revision);
+                    let took_ms = asked.elapsed().as_millis();
+                    info!(
+                        job = %spec.id, class = %spec.class, team = %spec.team,
+                        tasks = spec.tasks, checked_ms, took_ms, "accepted"
+                    );
                     return self.accepted(&spec, all).await;
                 }
                 Err(StateError::Refused(_)) => return Err(Trouble::State),
@@ -127,7 +135,6 @@
     /// Answers for a job that was accepted just now. It may be cancelled
     /// already, with one that it depends on.
     async fn accepted(&self, spec: &JobSpec, covered: bool) -> Result<UserReply, Trouble> {
-        info!(job = %spec.id, class = %spec.class, team = %spec.team, tasks = spec.tasks, "accepted");
         if !covered {
             self.fresh().await?;
         }
