Write budgets gather half of the service's own burst

Cause: 2.25 changes a second for each controller that doesn't lead, and the five or six submissions of a pipeline come to one of them within a second.

--- a/src/state.rs
+++ b/src/state.rs
@@ -181,6 +181,8 @@
 struct Level {
     /// Tokens a second.
     rate: f64,
+    /// Tokens that may gather beyond a second's worth.
+    burst: f64,
     held: f64,
     at: Instant,
 }
@@ -208,7 +210,14 @@
 
 impl Budget {
     pub fn new(rate: f64) -> Self {
-        Self { level: Mutex::new(Level { rate, held: rate.max(1.0), at: Instant::now() }) }
+        Self::with_burst(rate, 0.0)
+    }
+
+    /// A budget that gathers up to `burst` tokens, if that is more than a
+    /// second's worth.
+    pub fn with_burst(rate: f64, burst: f64) -> Self {
+        let held = rate.max(burst).max(1.0);
+        Self { level: Mutex::new(Level { rate, burst, held, at: Instant::now() }) }
     }
 
     /// Follows a change of share (leading or not).
@@ -221,7 +230,7 @@
         let mut level = lock(&self.level);
         let now = Instant::now();
         let rate = level.rate;
-        let capacity = rate.max(amount).max(1.0);
+        let capacity = rate.max(level.burst).max(amount).max(1.0);
         level.held = (level.held + rate * (now - level.at).as_secs_f64()).min(capacity);
         level.at = now;
         // A reserve that a full bucket can't hold would never be met.
@@ -275,6 +284,9 @@
     timeout: Duration,
 }
 
+/// The share of the service's own burst that one controller may use.
+const WRITE_BURST: f64 = 0.5;
+
 /// Transactions under way at once: one slow answer must not stop all writing.
 pub const IN_FLIGHT: usize = 3;
 
@@ -284,7 +296,13 @@
         Self {
             api,
             requests,
-            writes: Budget::new(settings.share(limits.writes_per_s, false)),
+            // The jobs of a pipeline come to one controller at once. Mostly the
+            // others write little then; if they do, the service refuses some
+            // and those are tried again.
+            writes: Budget::with_burst(
+                settings.share(limits.writes_per_s, false),
+                limits.writes_per_s * WRITE_BURST,
+            ),
             queue: Mutex::default(),
             wake: Notify::new(),
             max_ops: limits.transaction_writes,
@@ -456,3 +474,6 @@
         StateError::Unsure(e) => StateError::Unsure(CallError::Connection(e.to_string())),
     }
 }
+
+#[cfg(test)]
+mod tests;
