--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -38,7 +38,11 @@
     /// first, then pages with new places by priority and arrival, then the
     /// rest. A page leaves only once at a time, so what it says of a task is
     /// never overtaken by an older version.
-    pub fn take_commits(&mut self, picture: &Picture) -> Vec<Commit> {
+    ///
+    /// `spare`: how many writes the budget has beyond what is kept for urgent
+    /// ones. Pages without new places wait for those: nobody waits for them, and
+    /// the more exits one of them takes in, the fewer are written.
+    pub fn take_commits(&mut self, picture: &Picture, spare: usize) -> Vec<Commit> {
         let mut commits = Vec::new();
         let lead = Condition { key: store::LEAD.into(), version: self.lead_version };
         for id in std::mem::take(&mut self.ending) {
@@ -60,7 +64,7 @@
                 });
             }
         }
-        for key in self.due_pages() {
+        for key in self.due_pages(spare) {
             commits.extend(self.page_commit(key, &lead, picture));
         }
         commits
@@ -82,7 +86,7 @@
     }
 
     /// The pages that should be written next.
-    fn due_pages(&self) -> Vec<(JobId, u32)> {
+    fn due_pages(&self, spare: usize) -> Vec<(JobId, u32)> {
         let room = self.writes_under_way().saturating_sub(self.inflight.len());
         if room == 0 {
             return Vec::new();
@@ -100,6 +104,8 @@
             .collect();
         due.sort();
         due.truncate(room);
+        let urgent = due.iter().take_while(|(can_wait, ..)| !can_wait).count();
+        due.truncate(urgent.saturating_add(spare));
         due.into_iter().map(|(.., key)| key.clone()).collect()
     }
 
--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -49,6 +49,7 @@
         let now = Instant::now();
         let paused = node.in_doubt();
         let alone = lock(&node.peers.promises).alone_since(now);
+        let spare = node.writer.spare();
         let small_pages = node.peers.all_know_small_pages(&node.settings.members);
         let due = {
             let picture = lock(&node.picture);
@@ -65,8 +66,11 @@
                         warn!("cluster.quota.fd_limit: more machines than sockets for them");
                     }
                 }
-                let commits =
-                    if leader.has_writes() { leader.take_commits(&picture) } else { Vec::new() };
+                let commits = if leader.has_writes() {
+                    leader.take_commits(&picture, spare)
+                } else {
+                    Vec::new()
+                };
                 let direct = leader.take_direct(now);
                 (commits, direct, leader.take_rentals(), leader.take_deletions())
             })
--- a/src/state.rs
+++ b/src/state.rs
@@ -187,6 +187,17 @@
     at: Instant,
 }
 
+impl Level {
+    fn capacity(&self) -> f64 {
+        self.rate.max(self.burst).max(1.0)
+    }
+
+    /// What is held by now, in a bucket of this size.
+    fn held_now(&self, capacity: f64) -> f64 {
+        (self.held + self.rate * self.at.elapsed().as_secs_f64()).min(capacity)
+    }
+}
+
 /// How much of a second's worth a request must leave to others.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Reserve {
@@ -228,20 +239,26 @@
     /// Takes `amount`, or says how long to wait for it.
     fn try_take(&self, amount: f64, reserve: Reserve) -> Result<(), Duration> {
         let mut level = lock(&self.level);
-        let now = Instant::now();
-        let rate = level.rate;
-        let capacity = rate.max(level.burst).max(amount).max(1.0);
-        level.held = (level.held + rate * (now - level.at).as_secs_f64()).min(capacity);
-        level.at = now;
+        // More than a full bucket holds is gathered for a large amount only.
+        let capacity = level.capacity().max(amount);
+        level.held = level.held_now(capacity);
+        level.at = Instant::now();
         // A reserve that a full bucket can't hold would never be met.
         let needed = (amount + capacity * reserve.share()).min(capacity);
         if level.held < needed {
-            return Err(Duration::from_secs_f64((needed - level.held) / rate.max(0.01)));
+            return Err(Duration::from_secs_f64((needed - level.held) / level.rate.max(0.01)));
         }
         level.held -= amount;
         Ok(())
     }
 
+    /// Whole tokens held beyond a reserve.
+    fn spare(&self, reserve: Reserve) -> usize {
+        let level = lock(&self.level);
+        let capacity = level.capacity();
+        (level.held_now(capacity) - capacity * reserve.share()).max(0.0) as usize
+    }
+
     /// Waits for `amount` tokens and takes them.
     pub async fn take(&self, amount: f64) {
         self.take_leaving(amount, Reserve::Nothing).await;
@@ -316,6 +333,11 @@
         self.writes.set_rate(rate);
     }
 
+    /// How many writes could leave now and still leave a reserve for urgent ones.
+    pub fn spare(&self) -> usize {
+        if lock(&self.queue).is_empty() { self.writes.spare(Reserve::Half) } else { 0 }
+    }
+
     /// Commits a change and returns the revision it got.
     pub async fn commit(
         &self,
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -98,7 +98,7 @@
     }
 
     fn commits(&mut self) -> Vec<Commit> {
-        self.leader.take_commits(&self.picture)
+        self.leader.take_commits(&self.picture, usize::MAX)
     }
 
     fn commit(&mut self, commits: Vec<Commit>) {
@@ -1104,3 +1104,34 @@
     let attempts = next.page("j-000001").bound.iter().map(|(_, attempt, ..)| *attempt).max();
     assert!(attempts > Some(1));
 }
+
+#[tokio::test(start_paused = true)]
+async fn exits_are_recorded_from_what_the_budget_has_to_spare() {
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    duty.submit("j-000001", json!({"Spokes": 2}));
+    duty.settle();
+    let starts = duty.report("n-1", 1, &[]);
+    let starts: Vec<Order> = ops(&starts, Op::Start).into_iter().cloned().collect();
+    assert_eq!(starts.len(), 2);
+    let done = [exited(&starts[0], Cause::Done), running(&starts[1])];
+    duty.report("n-1", 1, &done);
+    // A new place is urgent, an exit is not; the job's end is.
+    duty.submit("j-000002", json!({"Spokes": 1}));
+    duty.pass(0.1);
+    let urgent = duty.leader.take_commits(&duty.picture, 0);
+    assert_eq!(urgent.len(), 1);
+    assert!(matches!(&urgent[0].kind, CommitKind::Page { job, .. } if &**job == "j-000002"));
+    duty.commit(urgent);
+    assert!(duty.leader.take_commits(&duty.picture, 0).is_empty());
+    let orders = duty.report("n-1", 1, &done);
+    assert!(ops(&orders, Op::Forget).is_empty(), "not cleared before it is durable");
+    let later = duty.leader.take_commits(&duty.picture, 1);
+    assert!(matches!(&later[0].kind, CommitKind::Page { job, .. } if &**job == "j-000001"));
+    duty.commit(later);
+    let all = [exited(&starts[0], Cause::Done), exited(&starts[1], Cause::Done)];
+    let orders = duty.report("n-1", 1, &all);
+    assert_eq!(ops(&orders, Op::Forget).len(), 1);
+    let end = duty.leader.take_commits(&duty.picture, 0);
+    assert!(matches!(&end[0].kind, CommitKind::End { job } if &**job == "j-000001"));
+}
