The story of spared writes expects clears in their true order

It expected an exit to be cleared while its job's end was not durable, which the leader rightly refuses; it now checks that and the clears after the end.

--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -1129,9 +1129,15 @@
     let later = duty.leader.take_commits(&duty.picture, 1);
     assert!(matches!(&later[0].kind, CommitKind::Page { job, .. } if &**job == "j-000001"));
     duty.commit(later);
+    let orders = duty.report("n-1", 1, &done);
+    assert_eq!(ops(&orders, Op::Forget).len(), 1);
+    // The last exit is durable only with the job's end, which spares nothing.
     let all = [exited(&starts[0], Cause::Done), exited(&starts[1], Cause::Done)];
     let orders = duty.report("n-1", 1, &all);
-    assert_eq!(ops(&orders, Op::Forget).len(), 1);
+    assert!(ops(&orders, Op::Forget).is_empty());
     let end = duty.leader.take_commits(&duty.picture, 0);
     assert!(matches!(&end[0].kind, CommitKind::End { job } if &**job == "j-000001"));
+    duty.commit(end);
+    let orders = duty.report("n-1", 1, &all);
+    assert_eq!(ops(&orders, Op::Forget).len(), 2);
 }
