Nothing is left to write of a job that ended

Since pages without new places wait for spare budget, the mark of an ended job's page could stay, and its exits uncleared, while there was none to spare.

--- a/src/controller/committing.rs
+++ b/src/controller/committing.rs
@@ -220,7 +220,7 @@
                     let arrival = job.arrival;
                     info!(job = %id, "ended");
                     self.jobs.remove(id);
-                    self.oversized.retain(|(job, _)| job != id);
+                    self.forget_pages(id);
                     self.order.remove(&(arrival, id.clone()));
                 }
             }
--- a/src/controller/pages.rs
+++ b/src/controller/pages.rs
@@ -177,6 +177,18 @@
         self.dirty.insert(page);
     }
 
+    /// A job's records are gone: none of its pages has to be written any more,
+    /// and its exits may be cleared.
+    pub(super) fn forget_pages(&mut self, id: &JobId) {
+        let all = (id.clone(), 0)..=(id.clone(), u32::MAX);
+        for pages in [&mut self.dirty, &mut self.oversized] {
+            let of_job: Vec<_> = pages.range(all.clone()).cloned().collect();
+            for page in of_job {
+                pages.remove(&page);
+            }
+        }
+    }
+
     /// Whether what is known of a task is not durable yet.
     pub(super) fn unwritten(&self, key: &TaskKey) -> bool {
         let page_tasks =
