Standard terms and typed records in place of house words and tuples

No change of behaviour: lease renewal by followers (was caretaking), known cancellations (was horizon), reports turned away (was stray), planner, writes and autoscaler as modules of the leader, fault scenarios (were meetings); a bound task is a struct and a submission's fault an enum.

--- a/src/controller/job.rs
+++ b/src/controller/job.rs
@@ -8,7 +8,10 @@
 
 use tokio::time::Instant;
 
-use crate::protocol::{JobSpec, MachineId, Priority, Shape};
+use crate::{
+    protocol::{JobSpec, MachineId, Priority, Shape},
+    store::BoundTask,
+};
 
 /// A task on its machine, until proof that it is gone.
 #[derive(Clone, Debug)]
@@ -27,12 +30,27 @@
     pub(super) stop: Option<Stop>,
 }
 
+impl Binding {
+    /// What a page records of it.
+    pub(super) fn record(&self, task: u32) -> BoundTask {
+        BoundTask {
+            task,
+            attempt: self.attempt,
+            machine: self.machine.clone(),
+            session: self.session,
+            zone: self.zone,
+        }
+    }
+}
+
+/// An order to stop a task, and the time that it has to save.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Stop {
     pub(super) since: Instant,
     pub(super) grace_s: f64,
 }
 
+/// A job that the leader knows, until its records are gone.
 pub(super) struct Job {
     pub(super) spec: Arc<JobSpec>,
     pub(super) arrival: u64,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -6,15 +6,16 @@
 //! start leave; an exit is committed first, and only then is it cleared from
 //! the worker.
 //!
-//! `reports` reviews what workers say, `deciding` makes passes, `committing`
-//! writes, `renting` rents and returns; here is what they share, and the time.
+//! `reports` reviews what workers say, `planner` makes scheduling passes,
+//! `writes` and `pages` make them durable, `autoscaler` rents and returns
+//! machines, `job` holds one job; here is what they share, and the time.
 
-mod committing;
-mod deciding;
+mod autoscaler;
 mod job;
 mod pages;
-mod renting;
+mod planner;
 mod reports;
+mod writes;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
@@ -24,15 +25,15 @@
 use tokio::time::{Duration, Instant};
 use tracing::{info, warn};
 
-pub use committing::{Commit, CommitKind};
 use job::{Binding, Job, Stop};
+pub use writes::{Commit, CommitKind};
 
 use crate::{
     fleet::{Fleet, Machine, TaskKey},
     protocol::{JobId, JobSpec, MachineId, MachineType, Rental, Shape},
     scheduler::TeamUse,
     settings::Settings,
-    store::{Change, Page, Picture},
+    store::{BoundTask, Change, Page, Picture},
 };
 
 /// A pass may take up to one in so many parts of the time: the rest is for
@@ -46,7 +47,7 @@
     /// Bound or reported tasks looked at for them.
     pub reviewed: u64,
     /// Looks over all machines and jobs for what time alone brings.
-    pub rounds_of_care: u64,
+    pub sweeps: u64,
     pub passes: u64,
     /// Places weighed in them.
     pub weighed: u64,
@@ -84,11 +85,11 @@
     /// The load of work that may use spot machines, over the last boot time.
     spot_loads: VecDeque<(Instant, f64)>,
     /// Machines with orders that should not wait for the next report.
-    prompt: BTreeSet<MachineId>,
+    needs_command: BTreeSet<MachineId>,
     deletions: Vec<MachineId>,
     rental_count: u64,
     next_round: Instant,
-    next_care: Instant,
+    next_sweep: Instant,
     next_pass: Instant,
     pub effort: Effort,
     outnumbered: bool,
@@ -130,11 +131,11 @@
             rentals: Vec::new(),
             renting: Vec::new(),
             spot_loads: VecDeque::new(),
-            prompt: BTreeSet::new(),
+            needs_command: BTreeSet::new(),
             deletions: Vec::new(),
             rental_count: 0,
             next_round: now,
-            next_care: now,
+            next_sweep: now,
             next_pass: now,
             effort: Effort::default(),
             outnumbered: false,
@@ -185,7 +186,7 @@
             for (first, n) in page.done {
                 job.done.extend(first..first.saturating_add(n).min(job.spec.tasks));
             }
-            for (task, attempt, machine, session, zone) in page.bound {
+            for BoundTask { task, attempt, machine, session, zone } in page.bound {
                 let known = self.fleet.machines.entry(machine.clone()).or_insert_with(|| {
                     let zone = self.settings.cluster.zones.get(usize::from(zone)).cloned();
                     // The type is learned from the list or the first report.
@@ -230,13 +231,13 @@
                 Change::Ended(id) => {
                     if let Some(job) = self.jobs.get_mut(id) {
                         job.ended.get_or_insert(now);
-                        self.prompt.extend(job.bound.values().map(|b| b.machine.clone()));
+                        self.needs_command.extend(job.bound.values().map(|b| b.machine.clone()));
                         self.ending.insert(id.clone());
                         self.changed = true;
                         self.round_due = true;
                     }
                 }
-                Change::Lead | Change::Stray => {}
+                Change::Lead | Change::ReportsTurnedAway => {}
             }
         }
     }
@@ -275,13 +276,13 @@
     /// times per report interval only, since reports come far more often.
     /// `alone`: since when surely no other controller has answered workers.
     pub fn tick(&mut self, now: Instant, paused: bool, alone: Option<Instant>) {
-        let care = now >= self.next_care;
+        let care = now >= self.next_sweep;
         if care {
-            self.effort.rounds_of_care += 1;
-            self.next_care = now + self.settings.report() / 8;
+            self.effort.sweeps += 1;
+            self.next_sweep = now + self.settings.report() / 8;
             self.expire_sessions(now, alone);
             self.drain(now);
-            self.press_ended(now);
+            self.stop_cancelled_directly(now);
             for key in std::mem::take(&mut self.stop_later) {
                 self.stop(&key, false, now);
             }
@@ -297,7 +298,7 @@
         let lease = self.settings.worker_lease();
         let unpaused = *self.unpaused.get_or_insert(now);
         if care {
-            self.stop_ended(now);
+            self.delete_machines_with_cancelled_tasks(now);
             let provable =
                 alone.is_some_and(|since| now > since + lease) || now < unpaused + lease * 2;
             self.return_machines(now, provable);
@@ -382,21 +383,21 @@
         for (task, binding) in &mut job.bound {
             if (gang || *task == key.1) && binding.stop.is_none() {
                 binding.stop = Some(stop);
-                self.prompt.insert(binding.machine.clone());
+                self.needs_command.insert(binding.machine.clone());
             }
         }
     }
 
     /// Cancelled tasks on machines that don't report are told to stop directly,
     /// again and again: their answers carry no order.
-    fn press_ended(&mut self, now: Instant) {
+    fn stop_cancelled_directly(&mut self, now: Instant) {
         let silent = self.settings.report() * 2;
         for job in self.jobs.values().filter(|j| j.ended.is_some()) {
             for binding in job.bound.values() {
                 let machine = self.fleet.machines.get(&binding.machine);
                 let away = |m: &Machine| m.reported.is_none_or(|at| now > at + silent);
-                if machine.is_some_and(|m| away(m) && !m.addr.is_empty() && !m.prompting) {
-                    self.prompt.insert(binding.machine.clone());
+                if machine.is_some_and(|m| away(m) && !m.addr.is_empty() && !m.commands_in_flight) {
+                    self.needs_command.insert(binding.machine.clone());
                 }
             }
         }
@@ -404,7 +405,7 @@
 
     /// A cancelled job's tasks must be gone in time, even from a machine that
     /// can't be reached: then the machine itself goes.
-    fn stop_ended(&mut self, now: Instant) {
+    fn delete_machines_with_cancelled_tasks(&mut self, now: Instant) {
         let limit = Duration::from_secs_f64(self.settings.cluster.workers.cancel_s / 2.0);
         let mut late = Vec::new();
         for job in self.jobs.values() {
@@ -417,7 +418,7 @@
         }
     }
 
-    /// Whether there are more machines than connections to hear them by. Told
+    /// Whether there are more machines than connections to hear them by. CancellationNotice
     /// once a term.
     pub fn outnumbered(&mut self) -> bool {
         let more = self.fleet.machines.len() > self.settings.public_sockets();
--- a/src/controller/pages.rs
+++ b/src/controller/pages.rs
@@ -80,11 +80,8 @@
 
     pub(super) fn page(&self, page: u32) -> Page {
         let range = self.tasks_of_page(page);
-        let bound = self
-            .bound
-            .range(range.clone())
-            .map(|(t, b)| (*t, b.attempt, b.machine.clone(), b.session, b.zone))
-            .collect();
+        let bound =
+            self.bound.range(range.clone()).map(|(task, binding)| binding.record(*task)).collect();
         let mut done: Vec<(u32, u32)> = Vec::new();
         for task in range.filter(|t| self.done.contains(t)) {
             match done.last_mut() {
@@ -99,8 +96,8 @@
     /// No less than what the record of a page takes.
     fn page_bytes(&self, page: u32) -> usize {
         let content = self.page(page);
-        let bound = content.bound.iter().map(|(task, attempt, machine, session, zone)| {
-            binding_bytes(*task, *attempt, machine.len(), *session, *zone)
+        let bound = content.bound.iter().map(|bound| {
+            binding_bytes(bound.task, bound.attempt, bound.machine.len(), bound.session, bound.zone)
         });
         let done = content.done.iter().map(|(first, count)| {
             digits((*first).into()) + digits((*count).into()) + RUN_PUNCTUATION
@@ -218,8 +215,8 @@
             (value.get().len() - limit).div_ceil(value.get().len() / content.bound.len().max(1));
         warn!(job = %key.0, page = key.1, surplus, "a page is too large to be written");
         self.oversized.insert(key.clone());
-        for (task, ..) in content.bound.iter().rev().take(surplus) {
-            self.stop_later.insert((key.0.clone(), *task));
+        for bound in content.bound.iter().rev().take(surplus) {
+            self.stop_later.insert((key.0.clone(), bound.task));
         }
         None
     }
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -139,7 +139,7 @@
             // order may still start it.
             None if mine && !unsure && (ended || binding.stop.is_some()) => self.gone(key, now),
             None if mine && !unsure && binding.sent >= 2 => {
-                // Told twice and still not there: the answers don't arrive.
+                // CancellationNotice twice and still not there: the answers don't arrive.
                 machine.deaf += 1;
                 machine.shunned_until = Some(now + self.settings.worker_lease());
                 info!(machine = %report.machine, task = ?key, "the machine does not carry out orders");
@@ -324,7 +324,7 @@
     pub fn take_direct(&mut self, now: Instant) -> Vec<(MachineId, String, DirectOrders)> {
         let mut direct = Vec::new();
         let report = self.settings.report();
-        for id in std::mem::take(&mut self.prompt) {
+        for id in std::mem::take(&mut self.needs_command) {
             let Some(machine) = self.fleet.machines.get_mut(&id) else { continue };
             // A worker whose reports reach nobody, or not this leader yet, may
             // still take orders: cancelled tasks are stopped there, and nothing
@@ -334,8 +334,8 @@
             if machine.deleting && !commanded {
                 continue;
             }
-            if machine.prompting {
-                self.prompt.insert(id);
+            if machine.commands_in_flight {
+                self.needs_command.insert(id);
                 continue;
             }
             let recorded = |key: &TaskKey| Some(self.jobs.get(&key.0)?.bound.get(&key.1)?.session);
@@ -366,7 +366,7 @@
                 });
             }
             if !orders.is_empty() && !machine.addr.is_empty() {
-                machine.prompting = true;
+                machine.commands_in_flight = true;
                 let orders = DirectOrders { token: self.token, session, orders };
                 direct.push((id, machine.addr.clone(), orders));
             }
@@ -383,7 +383,7 @@
         now: Instant,
     ) -> Result<(), Deposed> {
         let Some(machine) = self.fleet.machines.get_mut(id) else { return Ok(()) };
-        machine.prompting = false;
+        machine.commands_in_flight = false;
         let Some(report) = answer.filter(|r| r.machine == *id) else { return Ok(()) };
         if machine.seen.0 == orders.session {
             for order in &orders.orders {
--- a/src/controller/committing.rs
+++ b/src/controller/writes.rs
@@ -192,13 +192,13 @@
             CommitKind::Page { job: id, page, content } => {
                 self.inflight.remove(&(id.clone(), *page));
                 let Some(job) = self.jobs.get_mut(id) else { return };
-                for (task, attempt, ..) in &content.bound {
-                    if let Some(binding) = job.bound.get_mut(task)
-                        && binding.attempt == *attempt
+                for bound in &content.bound {
+                    if let Some(binding) = job.bound.get_mut(&bound.task)
+                        && binding.attempt == bound.attempt
                     {
                         binding.durable = true;
                         if !binding.seen {
-                            self.prompt.insert(binding.machine.clone());
+                            self.needs_command.insert(binding.machine.clone());
                         }
                     }
                 }
--- a/src/election.rs
+++ b/src/election.rs
@@ -56,7 +56,7 @@
             // A change wakes us; the timer is for a hold-off that ends.
             _ => {
                 let _ = tokio::time::timeout(ttl / 4, node.lead_changed.notified()).await;
-                node.tell_stray().await;
+                node.announce_turned_away_reports().await;
             }
         }
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -4,7 +4,7 @@
 //! Only these count as proof: a report of a newer (session, sequence) at the
 //! leader's own token that lacks the task; a later session; a deletion that
 //! the cloud answered; or the worker's lease, counted from the leader's last
-//! answer and from when surely no other controller answers (`caretaking.rs`).
+//! answer and from when surely no other controller answers (`lease_renewal.rs`).
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
@@ -115,7 +115,7 @@
     /// again.
     pub unsure: HashSet<(TaskKey, u64)>,
     /// Direct orders are under way.
-    pub prompting: bool,
+    pub commands_in_flight: bool,
     /// What tasks on the machine use that the leader has not bound there.
     pub strangers: Resources,
     /// Images fetched here with their sizes in GB, the latest used last, as
@@ -150,7 +150,7 @@
             dead_session: 0,
             bound: BTreeSet::new(),
             unsure: HashSet::new(),
-            prompting: false,
+            commands_in_flight: false,
             strangers: Resources::default(),
             images: Vec::new(),
             notice_until: None,
--- a/src/caretaking.rs
+++ b/src/lease_renewal.rs
@@ -23,7 +23,7 @@
 //! their tasks, since an end that was told is durable. But it answers workers
 //! only while, for each other controller, what that may have told users is
 //! known up to a moment so short ago that leases still run out within
-//! `cancel_s` (`Horizon`). Caretakers end by the same limit.
+//! `cancel_s` (`KnownCancellations`). Followers that renew end by the same limit.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -146,17 +146,17 @@
 /// former process of the same member told is in the picture of the next one as
 /// soon as that has read the records, and before that it says nothing.
 #[derive(Default)]
-pub struct Horizon {
+pub struct KnownCancellations {
     read: Option<Instant>,
     members: HashMap<String, Instant>,
 }
 
-impl Horizon {
+impl KnownCancellations {
     pub fn read(&mut self, asked: Instant) {
         self.read = self.read.max(Some(asked));
     }
 
-    pub fn told_all(&mut self, member: &str, sent: Instant) {
+    pub fn heard_all(&mut self, member: &str, sent: Instant) {
         let known = self.members.entry(member.to_owned()).or_insert(sent);
         *known = sent.max(*known);
     }
--- a/src/caretaking/tests.rs
+++ b/src/lease_renewal/tests.rs
@@ -69,18 +69,19 @@
 fn the_horizon_is_that_of_the_member_least_known() {
     let now = Instant::now();
     let at = |s: u64| now + Duration::from_secs(s);
-    let of = |horizon: &Horizon| horizon.of(["b", "c"].into_iter());
-    let mut horizon = Horizon::default();
-    assert_eq!(of(&horizon), None, "nothing was read yet");
-    horizon.read(at(5));
-    assert_eq!(of(&horizon), Some(at(5)), "a reading counts for all");
-    horizon.told_all("b", at(9));
-    assert_eq!(of(&horizon), Some(at(5)), "c may have told more");
-    horizon.told_all("c", at(7));
-    assert_eq!(of(&horizon), Some(at(7)));
-    horizon.told_all("b", at(8));
-    horizon.read(at(6));
-    assert_eq!(of(&horizon), Some(at(7)), "what comes late takes nothing back");
+    let of =
+        |known_cancellations: &KnownCancellations| known_cancellations.of(["b", "c"].into_iter());
+    let mut known_cancellations = KnownCancellations::default();
+    assert_eq!(of(&known_cancellations), None, "nothing was read yet");
+    known_cancellations.read(at(5));
+    assert_eq!(of(&known_cancellations), Some(at(5)), "a reading counts for all");
+    known_cancellations.heard_all("b", at(9));
+    assert_eq!(of(&known_cancellations), Some(at(5)), "c may have told more");
+    known_cancellations.heard_all("c", at(7));
+    assert_eq!(of(&known_cancellations), Some(at(7)));
+    known_cancellations.heard_all("b", at(8));
+    known_cancellations.read(at(6));
+    assert_eq!(of(&known_cancellations), Some(at(7)), "what comes late takes nothing back");
 }
 
 #[test]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,13 +5,13 @@
 //! throughput scaling factors, resizing through checkpoint and resume.
 
 pub mod admission_limit;
-pub mod caretaking;
 pub mod cloud;
 pub mod controller;
 pub mod dependencies;
 pub mod election;
 pub mod fleet;
 pub mod http;
+pub mod lease_renewal;
 pub mod node;
 pub mod peers;
 pub mod protocol;
--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -80,7 +80,7 @@
             work.spawn(until(stop.clone(), carry(node.clone(), version, commit)));
         }
         for (id, addr, orders) in direct {
-            work.spawn(until(stop.clone(), prompt(node.clone(), version, id, addr, orders)));
+            work.spawn(until(stop.clone(), send_commands(node.clone(), version, id, addr, orders)));
         }
         for rental in rentals {
             work.spawn(until(stop.clone(), rent(node.clone(), version, rental)));
@@ -152,7 +152,13 @@
 }
 
 /// Sends orders to a worker's own address.
-async fn prompt(node: Arc<Node>, version: u64, id: MachineId, addr: String, orders: DirectOrders) {
+async fn send_commands(
+    node: Arc<Node>,
+    version: u64,
+    id: MachineId,
+    addr: String,
+    orders: DirectOrders,
+) {
     let answer = node.workers.command(&addr, orders.clone()).await;
     if let Err(error) = &answer {
         debug!(machine = %id, %error, "direct orders");
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -6,14 +6,14 @@
 use super::Node;
 use crate::{
     peers::Message,
-    protocol::{Heartbeat, JobState, Told, Write},
+    protocol::{CancellationNotice, Heartbeat, JobState, Write},
     state::lock,
     store::{self, End},
 };
 
 /// Cancellations that one heartbeat carries at most. A leader misses those of
 /// a lease of its own at the most, before an outage keeps all from writing.
-pub const TOLD_LIMIT: usize = 1024;
+pub const MOST_NOTICED_CANCELLATIONS: usize = 1024;
 
 impl Node {
     pub fn heartbeat(&self, to: &str) -> Heartbeat {
@@ -23,8 +23,8 @@
         // A picture that was never read knows nothing of what a former process
         // of this member told.
         let told = echo.filter(|_| picture.loaded).map(|(_, since)| {
-            let (jobs, all) = picture.cancelled_since(since, TOLD_LIMIT);
-            Told { since, all, jobs }
+            let (jobs, all) = picture.cancelled_since(since, MOST_NOTICED_CANCELLATIONS);
+            CancellationNotice { since, all, jobs }
         });
         Heartbeat {
             member: self.settings.member.clone(),
@@ -33,34 +33,35 @@
             leads,
             token: picture.token.1,
             state_ok,
-            // Told to every member alike: counted once for whoever was told
+            // Said to every member alike: counted once for whoever was told
             // first, it never reached the leader that needed it.
-            strays: self.strayed(),
+            turned_reports_away: self.turned_reports_away(),
             revision: picture.revision,
-            told,
+            cancellations: told,
         }
     }
 
     /// Whether this node turned a report away lately.
-    fn strayed(&self) -> bool {
-        lock(&self.stray).is_some_and(|at| at.elapsed() < self.settings.report() * 2)
+    fn turned_reports_away(&self) -> bool {
+        lock(&self.reports_turned_away).is_some_and(|at| at.elapsed() < self.settings.report() * 2)
     }
 
     /// Whether workers report to another controller, but not to this one.
     pub fn hears_less(&self) -> bool {
-        !self.strayed() && self.peers.any(self.settings.report() * 2, |heartbeat| heartbeat.strays)
+        !self.turned_reports_away()
+            && self.peers.any(self.settings.report() * 2, |heartbeat| heartbeat.turned_reports_away)
     }
 
     /// Tells a leader through the state service that workers live, if no
     /// heartbeat can: connections between the controllers may be refused while
     /// the leader loses its workers.
-    pub async fn tell_stray(&self) {
+    pub async fn announce_turned_away_reports(&self) {
         let heard = self.peers.any(self.settings.leader_lease(), |heartbeat| heartbeat.leads);
-        if heard || !self.strayed() || !self.state_ok() {
+        if heard || !self.turned_reports_away() || !self.state_ok() {
             return;
         }
         if let Ok(value) = store::value(&self.settings.member) {
-            let put = Write::Put { key: store::STRAY.into(), value, lease: None };
+            let put = Write::Put { key: store::REPORTS_TURNED_AWAY.into(), value, lease: None };
             let _ = self.writer.commit(Vec::new(), vec![put]).await;
         }
     }
@@ -79,14 +80,14 @@
             self.lead_changed.notify_one();
         }
         drop(term);
-        self.take_told(heartbeat.told.as_ref());
+        self.take_cancellation_notice(heartbeat.cancellations.as_ref());
         let revision = lock(&self.picture).revision;
         self.peers.note(heartbeat, revision);
     }
 
     /// Takes in what another controller may have told users: those ends are
     /// durable, though the state service may not let this one see them.
-    fn take_told(&self, told: Option<&Told>) {
+    fn take_cancellation_notice(&self, told: Option<&CancellationNotice>) {
         let mut changes = Vec::new();
         for (id, version, done) in told.into_iter().flat_map(|told| &told.jobs) {
             let end = End { state: JobState::Cancelled, done: *done };
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -40,7 +40,7 @@
 };
 
 pub use leading::lead_duty;
-pub use links::TOLD_LIMIT;
+pub use links::MOST_NOTICED_CANCELLATIONS;
 
 /// Why a request can't be answered now. All of these are worth a retry.
 #[derive(Clone, Copy, Debug, Error, PartialEq)]
@@ -79,7 +79,7 @@
     /// Workers sent to look for another leader, while ours is in doubt.
     probed: HashMap<MachineId, Instant>,
     /// Leases are not renewed, since cancellations may be unknown.
-    unknowing: bool,
+    withholds_renewals: bool,
 }
 
 pub struct Node {
@@ -91,7 +91,7 @@
     pub admission: Arc<AdmissionLimit>,
     pub picture: Mutex<Picture>,
     pub peers: Peers,
-    /// Told whenever the leadership key or this node's term may have changed.
+    /// CancellationNotice whenever the leadership key or this node's term may have changed.
     pub lead_changed: Notify,
     /// Drawn at each start, so that a node knows its former self from itself.
     pub incarnation: u64,
@@ -105,11 +105,11 @@
     state_seen: Mutex<(Instant, bool)>,
     started: Instant,
     /// Workers answered while nobody can lead, and since when.
-    cared: Mutex<HashMap<MachineId, Instant>>,
+    renewed_workers: Mutex<HashMap<MachineId, Instant>>,
     /// When a report was last turned away or answered in a leader's stead.
-    stray: Mutex<Option<Instant>>,
+    reports_turned_away: Mutex<Option<Instant>>,
     /// When the watch last brought that another node turned reports away.
-    stray_told: Mutex<Option<Instant>>,
+    turned_away_elsewhere: Mutex<Option<Instant>>,
 }
 
 impl Node {
@@ -138,7 +138,7 @@
             requests,
             admission: AdmissionLimit::new(target, ceiling),
             picture: Mutex::default(),
-            peers: Peers::new(members, settings.caretaking_promise(), incarnation),
+            peers: Peers::new(members, settings.renewal_promise(), incarnation),
             settings,
             lead_changed: Notify::new(),
             incarnation,
@@ -150,9 +150,9 @@
             read_wanted: Notify::new(),
             state_seen: Mutex::new((Instant::now(), false)),
             started: Instant::now(),
-            cared: Mutex::default(),
-            stray: Mutex::new(None),
-            stray_told: Mutex::new(None),
+            renewed_workers: Mutex::default(),
+            reports_turned_away: Mutex::new(None),
+            turned_away_elsewhere: Mutex::new(None),
         })
     }
 
@@ -218,7 +218,7 @@
             renewed: Instant::now(),
             leader: None,
             probed: HashMap::new(),
-            unknowing: false,
+            withholds_renewals: false,
         });
         let limits = self.settings.state_limits();
         self.requests.set_rate(self.settings.share(limits.requests_per_s, true));
@@ -253,8 +253,8 @@
         let silent =
             self.with_leader(version, |leader| leader.deserted(Instant::now())).unwrap_or(false);
         let lately = self.settings.report() * 2;
-        let told = lock(&self.stray_told).is_some_and(|at| at.elapsed() < lately);
-        silent && (told || self.peers.any(lately, |heartbeat| heartbeat.strays))
+        let told = lock(&self.turned_away_elsewhere).is_some_and(|at| at.elapsed() < lately);
+        silent && (told || self.peers.any(lately, |heartbeat| heartbeat.turned_reports_away))
     }
 
     fn with_leader<T>(&self, version: u64, work: impl FnOnce(&mut Leader) -> T) -> Option<T> {
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -34,8 +34,8 @@
         if changes.contains(&Change::Lead) {
             self.lead_changed.notify_one();
         }
-        if changes.contains(&Change::Stray) {
-            *lock(&self.stray_told) = Some(Instant::now());
+        if changes.contains(&Change::ReportsTurnedAway) {
+            *lock(&self.turned_away_elsewhere) = Some(Instant::now());
         }
         let picture = lock(&self.picture);
         if let Some(leader) = lock(&self.term).as_mut().and_then(|t| t.leader.as_mut()) {
@@ -61,7 +61,7 @@
     /// Notes how a reading went that was asked for at `asked`.
     fn note_state(&self, asked: Instant, ok: bool) {
         if ok {
-            lock(&self.peers.horizon).read(asked);
+            lock(&self.peers.known_cancellations).read(asked);
         }
         *lock(&self.state_seen) = (Instant::now(), ok);
     }
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -28,9 +28,13 @@
                 Some(id) => {
                     let known = self.status(&id).await?;
                     let unknown = known == UserReply::Unknown;
-                    return Ok(if unknown { UserReply::Malformed(reason) } else { known });
+                    return Ok(if unknown {
+                        UserReply::Malformed(reason.to_string())
+                    } else {
+                        known
+                    });
                 }
-                None => return Ok(UserReply::Malformed(reason)),
+                None => return Ok(UserReply::Malformed(reason.to_string())),
             },
         };
         let known = lock(&self.picture).status(&spec.id);
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -20,8 +20,8 @@
                 reply
             }
             None => {
-                *lock(&self.stray) = Some(Instant::now());
-                if let Some(reply) = self.take_care(report, Instant::now()) {
+                *lock(&self.reports_turned_away) = Some(Instant::now());
+                if let Some(reply) = self.renew_as_follower(report, Instant::now()) {
                     return reply;
                 }
                 let picture = lock(&self.picture);
@@ -49,12 +49,12 @@
                 away = true;
             }
         }
-        let unknowing = !self.knows_enough(now);
-        if unknowing && !held.unknowing {
+        let withholds_renewals = !self.knows_enough(now);
+        if withholds_renewals && !held.withholds_renewals {
             warn!("leases are not renewed: cancellations may be unknown for too long");
         }
-        held.unknowing = unknowing;
-        away |= unknowing;
+        held.withholds_renewals = withholds_renewals;
+        away |= withholds_renewals;
         // All are sent away in one second, and a leader that seemed to have
         // lost them would give way, in an outage to nobody.
         let heard = if away {
@@ -69,30 +69,30 @@
         }))
     }
 
-    /// Answers a worker while nobody can lead, see `caretaking.rs`.
-    fn take_care(&self, report: &Report, now: Instant) -> Option<ReportReply> {
-        let limit = self.settings.caretaking_limit();
-        let until = match lock(&self.peers.horizon).last_read() {
+    /// Answers a worker while nobody can lead, see `lease_renewal.rs`.
+    fn renew_as_follower(&self, report: &Report, now: Instant) -> Option<ReportReply> {
+        let limit = self.settings.renewal_limit();
+        let until = match lock(&self.peers.known_cancellations).last_read() {
             Some(at) => at + limit,
             // This process knows nothing of the time before it: half of the
             // limit is left for that.
             None => self.started + limit / 2,
         };
-        let mut cared = lock(&self.cared);
+        let mut renewed_workers = lock(&self.renewed_workers);
         let may = !self.state_ok()
             && now < until
             && report.token > 0
             && lock(&self.term).is_none()
             && lock(&self.peers.promises).free(now);
         if !may {
-            cared.clear();
+            renewed_workers.clear();
             return None;
         }
         // A leader may be there that only this node can't hear, so workers
         // are sent to look for it once in a while.
-        let since = *cared.entry(report.machine.clone()).or_insert(now);
+        let since = *renewed_workers.entry(report.machine.clone()).or_insert(now);
         if now > since + self.settings.worker_lease() / 2 {
-            cared.remove(&report.machine);
+            renewed_workers.remove(&report.machine);
             return None;
         }
         // A job whose end is known is stopped: that is right under any token.
@@ -116,9 +116,9 @@
     /// that could then outlive `cancel_s`. While its own lease lasts a leader
     /// always may, whatever the settings allow.
     fn knows_enough(&self, now: Instant) -> bool {
-        let limit = self.settings.caretaking_limit().max(self.settings.leader_lease());
+        let limit = self.settings.renewal_limit().max(self.settings.leader_lease());
         let members = self.settings.members.iter().map(|m| m.member.as_str());
-        let known = lock(&self.peers.horizon).of(members);
+        let known = lock(&self.peers.known_cancellations).of(members);
         self.settings.members.is_empty() || known.is_some_and(|at| now < at + limit)
     }
 
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -3,7 +3,7 @@
 //!
 //! A heartbeat carries no authority. It lets a deposed leader learn of its
 //! successor, a node that alone lost the state service know that it is alone,
-//! a leader know that nobody else answers workers (`caretaking.rs`),
+//! a leader know that nobody else answers workers (`lease_renewal.rs`),
 //! and a leader that hears no worker learn that workers live.
 
 use std::{
@@ -28,8 +28,8 @@
 use tracing::warn;
 
 use crate::{
-    caretaking::{Horizon, Promises},
     http::accept,
+    lease_renewal::{KnownCancellations, Promises},
     node::Node,
     protocol::{Features, Heartbeat},
     settings::Member,
@@ -44,7 +44,7 @@
 /// wire, for bitcode doesn't describe itself: it gets a section of its own,
 /// which controllers of another version pass over.
 const HEARTBEAT: u8 = 1;
-const TOLD: u8 = 2;
+const CANCELLATIONS: u8 = 2;
 const FEATURES: u8 = 3;
 
 /// What this version can do.
@@ -61,9 +61,9 @@
 /// A frame is a list of sections, each with its kind. This outer form is for
 /// ever.
 pub fn encode(mut heartbeat: Heartbeat) -> Vec<u8> {
-    let told = heartbeat.told.take();
+    let told = heartbeat.cancellations.take();
     let mut sections = vec![(HEARTBEAT, bitcode::encode(&heartbeat))];
-    sections.extend(told.map(|told| (TOLD, bitcode::encode(&told))));
+    sections.extend(told.map(|told| (CANCELLATIONS, bitcode::encode(&told))));
     sections.push((FEATURES, bitcode::encode(&OWN_FEATURES)));
     bitcode::encode(&sections)
 }
@@ -74,7 +74,7 @@
     let sections: Vec<(u8, Vec<u8>)> = bitcode::decode(frame).ok()?;
     let section = |kind: u8| sections.iter().find(|(k, _)| *k == kind).map(|(_, body)| body);
     let mut heartbeat: Heartbeat = bitcode::decode(section(HEARTBEAT)?).ok()?;
-    heartbeat.told = section(TOLD).and_then(|body| bitcode::decode(body).ok());
+    heartbeat.cancellations = section(CANCELLATIONS).and_then(|body| bitcode::decode(body).ok());
     let features = section(FEATURES).and_then(|body| bitcode::decode(body).ok());
     Some(Message { heartbeat, features: features.unwrap_or_default() })
 }
@@ -87,11 +87,11 @@
 pub struct Peers {
     heard: Mutex<HashMap<String, (Heartbeat, Instant)>>,
     pub promises: Mutex<Promises>,
-    pub horizon: Mutex<Horizon>,
+    pub known_cancellations: Mutex<KnownCancellations>,
     /// Members that have said that they know small pages.
     know_small_pages: Mutex<HashSet<String>>,
     /// An unreadable heartbeat was logged: whoever sends them sends many.
-    garbled: AtomicBool,
+    unreadable_logged: AtomicBool,
 }
 
 impl Peers {
@@ -102,9 +102,9 @@
         Self {
             heard: Mutex::default(),
             promises: Mutex::new(promises),
-            horizon: Mutex::default(),
+            known_cancellations: Mutex::default(),
             know_small_pages: Mutex::default(),
-            garbled: AtomicBool::new(false),
+            unreadable_logged: AtomicBool::new(false),
         }
     }
 
@@ -120,9 +120,10 @@
             heartbeat.echo,
             now,
         );
-        let all = heartbeat.told.as_ref().is_some_and(|told| told.all && told.since <= revision);
+        let all =
+            heartbeat.cancellations.as_ref().is_some_and(|told| told.all && told.since <= revision);
         if let Some(sent) = sent.filter(|_| all) {
-            lock(&self.horizon).told_all(&heartbeat.member, sent);
+            lock(&self.known_cancellations).heard_all(&heartbeat.member, sent);
         }
         lock(&self.heard).insert(heartbeat.member.clone(), (heartbeat, Instant::now()));
     }
@@ -172,7 +173,7 @@
             Some(message) => node.on_message(message),
             // A newer version may say what this one can't read, and later
             // frames may be readable: the link stays.
-            None if !node.peers.garbled.swap(true, Ordering::Relaxed) => {
+            None if !node.peers.unreadable_logged.swap(true, Ordering::Relaxed) => {
                 warn!("a heartbeat can't be read; further ones are not told");
             }
             None => {}
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::protocol::Told;
+use crate::protocol::CancellationNotice;
 
 fn heartbeat() -> Heartbeat {
     Heartbeat {
@@ -9,9 +9,13 @@
         leads: false,
         token: 3,
         state_ok: true,
-        strays: false,
+        turned_reports_away: false,
         revision: 40,
-        told: Some(Told { since: 30, all: true, jobs: vec![("j-000001".into(), 35, 2)] }),
+        cancellations: Some(CancellationNotice {
+            since: 30,
+            all: true,
+            jobs: vec![("j-000001".into(), 35, 2)],
+        }),
     }
 }
 
@@ -38,7 +42,7 @@
     let mut frame = sections(&encode(heartbeat()));
     frame[1].1 = vec![255; 3];
     let read = decode(&bitcode::encode(&frame)).expect("its heartbeat").heartbeat;
-    assert_eq!(read, Heartbeat { told: None, ..heartbeat() });
+    assert_eq!(read, Heartbeat { cancellations: None, ..heartbeat() });
     frame.remove(0);
     assert_eq!(decode(&bitcode::encode(&frame)), None, "no heartbeat");
     assert_eq!(decode(b"not a frame"), None);
@@ -48,9 +52,9 @@
 #[test]
 fn the_most_that_is_told_fits_a_frame() {
     let longest = "j-99999999999999999999".to_owned();
-    let jobs = vec![(longest, u64::MAX, u32::MAX); crate::node::TOLD_LIMIT];
-    let told = Told { since: u64::MAX, all: false, jobs };
-    let frame = encode(Heartbeat { told: Some(told), ..heartbeat() });
+    let jobs = vec![(longest, u64::MAX, u32::MAX); crate::node::MOST_NOTICED_CANCELLATIONS];
+    let told = CancellationNotice { since: u64::MAX, all: false, jobs };
+    let frame = encode(Heartbeat { cancellations: Some(told), ..heartbeat() });
     assert!(frame.len() < FRAME_LIMIT, "{}", frame.len());
 }
 
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::value::RawValue;
+use thiserror::Error;
 
 /// Names of jobs and machines are shared by many tables, so they are counted
 /// references rather than copies.
@@ -97,10 +98,31 @@
     Ok(Option::deserialize(deserializer)?.unwrap_or_default())
 }
 
+/// What is wrong with a submission, in one sentence for its user.
+#[derive(Debug, Error)]
+pub enum SubmissionError {
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    #[error("Ref is not a job id")]
+    JobId,
+    #[error("Spokes must lie within 1 and {MAX_TASKS}")]
+    TaskCount,
+    #[error("{field} must be a number of at least 0")]
+    Amount { field: &'static str },
+    #[error("names must have 1 to {NAME_LIMIT} bytes")]
+    NameLength,
+    #[error("Frames must name a type or be null")]
+    NoMachineType,
+    #[error("Awaits names {0:?}, which is not a job id")]
+    DependencyId(JobId),
+    #[error("Awaits must not name the job itself")]
+    DependsOnItself,
+}
+
 impl JobSpec {
-    /// Reads a submission, or says in one sentence what is wrong with it.
-    pub fn parse(body: &[u8]) -> Result<Self, String> {
-        let mut spec: Self = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    /// Reads a submission.
+    pub fn parse(body: &[u8]) -> Result<Self, SubmissionError> {
+        let mut spec: Self = serde_json::from_slice(body)?;
         spec.check()?;
         let mut named = HashSet::new();
         spec.dependencies.retain(|dependency| named.insert(dependency.clone()));
@@ -118,12 +140,12 @@
         is_job_id(&named.id).then_some(named.id)
     }
 
-    fn check(&self) -> Result<(), String> {
+    fn check(&self) -> Result<(), SubmissionError> {
         if !is_job_id(&self.id) {
-            return Err("Ref is not a job id".into());
+            return Err(SubmissionError::JobId);
         }
         if self.tasks == 0 || self.tasks > MAX_TASKS {
-            return Err(format!("Spokes must lie within 1 and {MAX_TASKS}"));
+            return Err(SubmissionError::TaskCount);
         }
         let amounts = [
             ("Cores", self.cpus),
@@ -135,25 +157,25 @@
             ("StashS", self.save_s),
             ("DueS", self.deadline_s.unwrap_or(0.0)),
         ];
-        for (name, amount) in amounts {
+        for (field, amount) in amounts {
             if !amount.is_finite() || amount < 0.0 {
-                return Err(format!("{name} must be a number of at least 0"));
+                return Err(SubmissionError::Amount { field });
             }
         }
         let mut names = vec![&self.class, &self.team, &self.image];
         names.extend(self.zone.iter());
         names.extend(self.types.iter().flatten());
         if names.iter().any(|n| n.is_empty() || n.len() > NAME_LIMIT) {
-            return Err(format!("names must have 1 to {NAME_LIMIT} bytes"));
+            return Err(SubmissionError::NameLength);
         }
         if self.types.as_ref().is_some_and(Vec::is_empty) {
-            return Err("Frames must name a type or be null".into());
+            return Err(SubmissionError::NoMachineType);
         }
         if let Some(wrong) = self.dependencies.iter().find(|id| !is_job_id(id)) {
-            return Err(format!("Awaits names {wrong:?}, which is not a job id"));
+            return Err(SubmissionError::DependencyId(wrong.clone()));
         }
         if self.dependencies.contains(&self.id) {
-            return Err("Awaits must not name the job itself".into());
+            return Err(SubmissionError::DependsOnItself);
         }
         Ok(())
     }
@@ -520,12 +542,12 @@
     pub state_ok: bool,
     /// Whether this node turned reports away lately: proof that workers live
     /// although the leader may not hear them.
-    pub strays: bool,
+    pub turned_reports_away: bool,
     /// The revision of this node's picture: it knows every cancellation up to it.
     pub revision: u64,
     /// What this node may have told users since the receiver's picture. It
     /// travels in a section of its own (`peers.rs`).
-    pub told: Option<Told>,
+    pub cancellations: Option<CancellationNotice>,
 }
 
 /// What the sender's version can do, beyond the one that first had no such
@@ -539,7 +561,7 @@
 
 /// All cancellations in the sender's picture beyond a revision.
 #[derive(Clone, Debug, PartialEq, bitcode::Encode, bitcode::Decode)]
-pub struct Told {
+pub struct CancellationNotice {
     /// The receiver's revision, as its latest heartbeat as a leader had it.
     pub since: u64,
     /// False if there are more than one heartbeat carries.
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -93,7 +93,7 @@
 }
 
 impl BoundView {
-    /// The task of a place that is held in thought.
+    /// The task of a place that is held tentatively.
     pub const HELD: u32 = u32::MAX;
 
     /// A place held on a machine, as if a task were bound there.
--- a/src/scheduler/moving.rs
+++ b/src/scheduler/moving.rs
@@ -10,7 +10,7 @@
 
 use super::{
     BoundView, Decisions, Resources, Slot, Snapshot, Stopping,
-    placement::{Allowed, Zones, bind_in_thought, fetch_s, find},
+    placement::{Allowed, Zones, bind_tentatively, fetch_s, find},
 };
 
 /// Makes room for all tasks of a gang by moving replicas that have room
@@ -136,7 +136,7 @@
             *snapshot = before;
             return false;
         };
-        bind_in_thought(snapshot, job, place);
+        bind_tentatively(snapshot, job, place);
     }
     decisions.stop.extend(stops);
     true
@@ -217,7 +217,7 @@
             snapshot.machines[machine].ready = ready;
             return false;
         };
-        bind_in_thought(snapshot, job, place);
+        bind_tentatively(snapshot, job, place);
         moves.push(((job, slot), place));
     }
     for ((job, slot), _) in moves {
@@ -238,7 +238,7 @@
     let away = job.bound.iter().filter(|b| b.stopping && b.task != BoundView::HELD).count();
     if away > 0 {
         for place in find(snapshot, at, away, true) {
-            bind_in_thought(snapshot, at, place);
+            bind_tentatively(snapshot, at, place);
         }
     }
 }
--- a/src/scheduler/placement.rs
+++ b/src/scheduler/placement.rs
@@ -73,7 +73,7 @@
 
 pub fn place(snapshot: &mut Snapshot<'_>, decisions: &mut Decisions) {
     let mut lacking: Vec<(usize, Vec<u32>)> = Vec::new();
-    // What is only placed in thought here is not yet anybody's to stop.
+    // What is only placed tentatively here is not yet anybody's to stop.
     let residents = snapshot.residents();
     for at in order(snapshot) {
         moving::hold_next_places(snapshot, at);
@@ -113,7 +113,7 @@
         for (&task, &machine) in tasks.iter().zip(&found) {
             let id = snapshot.machines[machine].id.clone();
             decisions.place.push((snapshot.jobs[at].id.clone(), task, id));
-            bind_in_thought(snapshot, at, machine);
+            bind_tentatively(snapshot, at, machine);
         }
         // Tasks that wait for cached room are neither placed nor lacking room.
         let mut rest = tasks[found.len().max(wanted_here)..].to_vec();
@@ -160,7 +160,7 @@
     let rest = tasks[found.len()..].to_vec();
     for machine in found {
         decisions.awaited.push(snapshot.machines[machine].id.clone());
-        bind_in_thought(snapshot, at, machine);
+        bind_tentatively(snapshot, at, machine);
     }
     rest
 }
@@ -176,15 +176,15 @@
 ) -> Vec<usize> {
     // The longest fetch that no cached room could be had for: room only gets
     // dearer, so there is no use in looking for it again.
-    let mut in_vain = 0.0;
+    let mut least_hopeless_fetch_s = 0.0;
     found
         .into_iter()
         .filter(|&m| {
             let fetch_s = fetch_s(snapshot, at, m);
-            let made = fetch_s > in_vain
+            let made = fetch_s > least_hopeless_fetch_s
                 && preemption::make_cached_room(snapshot, residents, at, fetch_s, decisions);
             if !made {
-                in_vain = fetch_s.max(in_vain);
+                least_hopeless_fetch_s = fetch_s.max(least_hopeless_fetch_s);
             }
             !made
         })
@@ -364,7 +364,7 @@
 }
 
 /// Rents for tasks that no running machine takes, after the booting machines
-/// are filled in thought.
+/// are filled tentatively.
 fn rent(snapshot: &mut Snapshot<'_>, lacking: &[(usize, Vec<u32>)], decisions: &mut Decisions) {
     let real = snapshot.machines.len();
     for (at, tasks) in lacking {
@@ -375,7 +375,7 @@
             if machine < real {
                 decisions.awaited.push(snapshot.machines[machine].id.clone());
             }
-            bind_in_thought(snapshot, *at, machine);
+            bind_tentatively(snapshot, *at, machine);
         }
         while left > 0 {
             let Some((kind, zone, spot)) = choose(snapshot, *at) else { break };
@@ -398,7 +398,7 @@
                 if !zones.allow(zone) {
                     break;
                 }
-                bind_in_thought(snapshot, *at, machine);
+                bind_tentatively(snapshot, *at, machine);
                 left -= 1;
             }
         }
@@ -436,7 +436,7 @@
     kinds.first().map(|(_, _, key)| *key)
 }
 
-pub fn bind_in_thought(snapshot: &mut Snapshot<'_>, at: usize, machine: usize) {
+pub fn bind_tentatively(snapshot: &mut Snapshot<'_>, at: usize, machine: usize) {
     hold(snapshot, at, machine);
     let zone = snapshot.machines[machine].zone;
     snapshot.jobs[at].bound.push(BoundView::held(machine, zone, false));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -394,7 +394,7 @@
             ));
         }
         let workers = &self.cluster.workers;
-        if self.caretaking_limit() < self.leader_lease() {
+        if self.renewal_limit() < self.leader_lease() {
             found.push(format!(
                 "cluster.workers.cancel_s: with a lease of {} s, {} s leave a leader that is cut off \
                  no time to learn of cancellations: some may be stopped late",
@@ -442,14 +442,14 @@
     /// How long a heartbeat of a leader keeps another controller from answering
     /// workers. Heartbeats leave four times per leader lease, so one may be
     /// lost; and all of it, with a restart, must fit into a worker's lease.
-    pub fn caretaking_promise(&self) -> Duration {
+    pub fn renewal_promise(&self) -> Duration {
         self.leader_lease() * 3 / 4
     }
 
     /// For how long workers may be answered after the last moment up to which
     /// all cancellations are known: a job cancelled just then must be gone, by
     /// its worker's own lease, within `cancel_s`.
-    pub fn caretaking_limit(&self) -> Duration {
+    pub fn renewal_limit(&self) -> Duration {
         let workers = &self.cluster.workers;
         Duration::from_secs_f64((workers.cancel_s - workers.lease_s).max(0.0) * 0.9)
     }
--- a/src/store.rs
+++ b/src/store.rs
@@ -31,7 +31,7 @@
 pub const LEAD: &str = "sw/lead";
 pub const TOKEN: &str = "sw/token";
 pub const TYPES: &str = "sw/types";
-pub const STRAY: &str = "sw/stray";
+pub const REPORTS_TURNED_AWAY: &str = "sw/stray";
 
 pub fn job_key(id: &str) -> String {
     format!("sw/j/{id}")
@@ -59,8 +59,33 @@
     pub lease: u64,
 }
 
-/// A task that is bound to a machine: (task, attempt, machine, session, zone).
-pub type BoundTask = (u32, u64, MachineId, u64, u8);
+/// A task that is bound to a machine. It is stored as an array of its fields,
+/// for pages are limited by their size.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "BoundTaskFields", into = "BoundTaskFields")]
+pub struct BoundTask {
+    pub task: u32,
+    pub attempt: u64,
+    pub machine: MachineId,
+    /// The machine's session in which it was bound.
+    pub session: u64,
+    /// The zone's place in the settings.
+    pub zone: u8,
+}
+
+type BoundTaskFields = (u32, u64, MachineId, u64, u8);
+
+impl From<BoundTaskFields> for BoundTask {
+    fn from((task, attempt, machine, session, zone): BoundTaskFields) -> Self {
+        Self { task, attempt, machine, session, zone }
+    }
+}
+
+impl From<BoundTask> for BoundTaskFields {
+    fn from(bound: BoundTask) -> Self {
+        (bound.task, bound.attempt, bound.machine, bound.session, bound.zone)
+    }
+}
 
 /// Placements and progress of the tasks of one page. Short names, because
 /// the page is what limits how many tasks fit a value.
@@ -155,7 +180,7 @@
     /// The job's effective priority changed.
     Reranked(JobId),
     Lead,
-    Stray,
+    ReportsTurnedAway,
 }
 
 /// The replicated picture, as of `revision`.
@@ -307,7 +332,7 @@
                 }
                 None
             }
-            STRAY => Some(vec![Change::Stray]),
+            REPORTS_TURNED_AWAY => Some(vec![Change::ReportsTurnedAway]),
             TYPES => {
                 if self.types.as_ref().is_none_or(|(v, _)| *v < version) {
                     self.types = Some((version, Arc::new(read(key, &raw)?)));
--- a/tests/meetings.rs
+++ b/tests/fault_scenarios.rs
@@ -1,6 +1,6 @@
-//! Meetings of troubles, in the order of the table in `docs/design.md`: two
-//! faults that are harmless alone, told together. The world judges rules of
-//! its own accord (`World::broken`).
+//! Fault scenarios, in the order of the table in `docs/design.md`: two faults
+//! that are harmless alone, together. The world checks the rules by itself
+//! (`World::broken`).
 
 #[allow(dead_code)] // Each test file uses its own part.
 mod common;
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -180,7 +180,7 @@
 
     /// The machines that a job's tasks are bound to, by the records.
     fn bound(&self, id: &str) -> Vec<(u32, String)> {
-        self.page(id).bound.iter().map(|(t, _, m, ..)| (*t, m.to_string())).collect()
+        self.page(id).bound.iter().map(|bound| (bound.task, bound.machine.to_string())).collect()
     }
 }
 
@@ -366,7 +366,7 @@
     assert_eq!(duty.bound("j-000001").len(), 1);
     duty.report("b-1", 1, &[]);
     duty.settle();
-    let zones: Vec<u8> = duty.page("j-000001").bound.iter().map(|b| b.4).collect();
+    let zones: Vec<u8> = duty.page("j-000001").bound.iter().map(|bound| bound.zone).collect();
     assert_eq!(zones.len(), 2);
     assert_ne!(zones[0], zones[1]);
 }
@@ -404,7 +404,7 @@
     duty.settle();
     let page = duty.page("j-000001");
     assert_eq!(page.bound.len(), 2);
-    assert!(page.bound.iter().all(|b| b.1 == tasks[0].attempt + 1));
+    assert!(page.bound.iter().all(|bound| bound.attempt == tasks[0].attempt + 1));
 }
 
 #[tokio::test(start_paused = true)]
@@ -823,7 +823,7 @@
     let after = duty.leader.effort;
     assert_eq!(after.reports - before.reports, MACHINES);
     assert_eq!(after.reviewed - before.reviewed, 2 * held as u64, "its own tasks each, twice");
-    assert!(after.rounds_of_care - before.rounds_of_care <= 8, "not one for each report");
+    assert!(after.sweeps - before.sweeps <= 8, "not one for each report");
     assert_eq!(after.passes, before.passes, "nothing changed");
 }
 
@@ -1101,7 +1101,7 @@
     }
     next.settle();
     assert!(!next.bound("j-000001").is_empty(), "it is placed anew");
-    let attempts = next.page("j-000001").bound.iter().map(|(_, attempt, ..)| *attempt).max();
+    let attempts = next.page("j-000001").bound.iter().map(|bound| bound.attempt).max();
     assert!(attempts > Some(1));
 }
 
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -258,8 +258,10 @@
 #[tokio::test(start_paused = true)]
 async fn dependants_of_a_record_that_cannot_be_read_wait() {
     let world = World::new(1).await;
-    let garbled = store::value(&json!({"Ref": "j-000001", "Shape": "spiral"})).expect("json");
-    let write = Write::Put { key: store::job_key("j-000001"), value: garbled, lease: None };
+    let unreadable_logged =
+        store::value(&json!({"Ref": "j-000001", "Shape": "spiral"})).expect("json");
+    let write =
+        Write::Put { key: store::job_key("j-000001"), value: unreadable_logged, lease: None };
     world.state.commit(Vec::new(), vec![write]).expect("written");
     seconds(1).await;
     let reply = world.submit(0, "j-000002", json!({"Awaits": ["j-000001"]})).await;
