--- /dev/null
+++ b/src/protocol/controllers.rs
@@ -0,0 +1,47 @@
+//! Between controllers, in bitcode, which doesn't describe itself: a struct here
+//! never changes, and new facts get a section of their own (`peers.rs`).
+
+/// What a controller tells the others about itself, several times per worker
+/// lease. It carries no authority: only the state service does.
+#[derive(Clone, Debug, PartialEq, bitcode::Encode, bitcode::Decode)]
+pub struct Heartbeat {
+    pub member: String,
+    /// Which process says this, and its how manieth heartbeat it is.
+    pub mark: (u64, u64),
+    /// The latest heartbeat that this node heard from the receiver as a leader:
+    /// it answers no reports of workers for a while after that.
+    pub echo: Option<(u64, u64)>,
+    pub leads: bool,
+    /// The highest fencing token this node has seen anywhere.
+    pub token: u64,
+    /// Whether the state service answered this node lately.
+    pub state_ok: bool,
+    /// Whether this node turned reports away lately: proof that workers live
+    /// although the leader may not hear them.
+    pub turned_reports_away: bool,
+    /// The revision of this node's picture: it knows every cancellation up to it.
+    pub revision: u64,
+    /// What this node may have told users since the receiver's picture. It
+    /// travels in a section of its own (`peers.rs`).
+    pub cancellations: Option<CancellationNotice>,
+}
+
+/// What the sender's version can do, beyond the one that first had no such
+/// section. It says so for good: a member never returns to an older version
+/// once it has run this one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, bitcode::Encode, bitcode::Decode)]
+pub struct Features {
+    /// It reads and writes pages whose records name the range of their tasks.
+    pub small_pages: bool,
+}
+
+/// All cancellations in the sender's picture beyond a revision.
+#[derive(Clone, Debug, PartialEq, bitcode::Encode, bitcode::Decode)]
+pub struct CancellationNotice {
+    /// The receiver's revision, as its latest heartbeat as a leader had it.
+    pub since: u64,
+    /// False if there are more than one heartbeat carries.
+    pub all: bool,
+    /// Job, revision of its end record, tasks done: the oldest first.
+    pub jobs: Vec<(String, u64, u32)>,
+}
