--- /dev/null
+++ b/src/state/budget.rs
@@ -0,0 +1,115 @@
+//! This controller's share of the requests and writes that the state service
+//! allows.
+
+use std::{sync::Mutex, time::Duration};
+
+use tokio::time::Instant;
+
+use super::lock;
+
+/// A token bucket that holds one second's worth, as the service's own does.
+///
+/// What can wait leaves a reserve for what can't: else the watch and the reads
+/// of a controller with a small share would take all of it, and a user's write
+/// stand in line behind them.
+pub struct Budget {
+    level: Mutex<Level>,
+}
+
+struct Level {
+    /// Tokens a second.
+    rate: f64,
+    /// Tokens that may gather beyond a second's worth.
+    burst: f64,
+    held: f64,
+    at: Instant,
+}
+
+impl Level {
+    fn capacity(&self) -> f64 {
+        self.rate.max(self.burst).max(1.0)
+    }
+
+    /// What is held by now, in a bucket of this size.
+    fn held_now(&self, capacity: f64) -> f64 {
+        (self.held + self.rate * self.at.elapsed().as_secs_f64()).min(capacity)
+    }
+}
+
+/// How much of a second's worth a request must leave to others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reserve {
+    /// Writes and renewals of leases.
+    Nothing,
+    /// Reads that users wait for.
+    Quarter,
+    /// Watches: a read brings the same changes.
+    Half,
+}
+
+impl Reserve {
+    fn share(self) -> f64 {
+        match self {
+            Self::Nothing => 0.0,
+            Self::Quarter => 0.25,
+            Self::Half => 0.5,
+        }
+    }
+}
+
+impl Budget {
+    pub fn new(rate: f64) -> Self {
+        Self::with_burst(rate, 0.0)
+    }
+
+    /// A budget that gathers up to `burst` tokens, if that is more than a
+    /// second's worth.
+    pub fn with_burst(rate: f64, burst: f64) -> Self {
+        let held = rate.max(burst).max(1.0);
+        Self { level: Mutex::new(Level { rate, burst, held, at: Instant::now() }) }
+    }
+
+    /// Follows a change of share (leading or not).
+    pub fn set_rate(&self, rate: f64) {
+        lock(&self.level).rate = rate;
+    }
+
+    /// Takes `amount`, or says how long to wait for it.
+    fn try_take(&self, amount: f64, reserve: Reserve) -> Result<(), Duration> {
+        let mut level = lock(&self.level);
+        // More than a full bucket holds is gathered for a large amount only.
+        let capacity = level.capacity().max(amount);
+        level.held = level.held_now(capacity);
+        level.at = Instant::now();
+        // A reserve that a full bucket can't hold would never be met.
+        let needed = (amount + capacity * reserve.share()).min(capacity);
+        if level.held < needed {
+            return Err(Duration::from_secs_f64((needed - level.held) / level.rate.max(0.01)));
+        }
+        level.held -= amount;
+        Ok(())
+    }
+
+    /// Whole tokens held beyond a reserve.
+    pub(super) fn spare(&self, reserve: Reserve) -> usize {
+        let level = lock(&self.level);
+        let capacity = level.capacity();
+        (level.held_now(capacity) - capacity * reserve.share()).max(0.0) as usize
+    }
+
+    /// Waits for `amount` tokens and takes them.
+    pub async fn take(&self, amount: f64) {
+        self.take_leaving(amount, Reserve::Nothing).await;
+    }
+
+    /// The same, when so much stays for others.
+    pub async fn take_leaving(&self, amount: f64, reserve: Reserve) {
+        while let Err(wait) = self.try_take(amount, reserve) {
+            // Timers fire in steps of a millisecond; shorter waits would spin.
+            tokio::time::sleep(wait.max(Duration::from_millis(1))).await;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -111,6 +111,24 @@
     mutex.lock().expect("not poisoned")
 }
 
+/// Lets time pass.
+pub async fn seconds(n: u64) {
+    sleep(Duration::from_secs(n)).await;
+}
+
+/// The state that a user was told, if any.
+pub fn state(reply: &Result<UserReply, Trouble>) -> Option<JobState> {
+    match reply {
+        Ok(UserReply::Known(status) | UserReply::Created(status)) => Some(status.state),
+        _ => None,
+    }
+}
+
+/// No rule that the world judges was broken so far.
+pub fn no_rule_broken(world: &World) {
+    assert!(world.broken().is_empty(), "{:?}", world.broken());
+}
+
 // State service.
 
 #[derive(Default)]
--- a/tests/fault_scenarios.rs
+++ b/tests/fault_scenarios.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use common::World;
+use common::{World, no_rule_broken, seconds, state};
 use serde_json::json;
 use stonewheel::{
     node::{Trouble, UserReply},
@@ -16,21 +16,6 @@
 };
 use tokio::time::{Instant, sleep};
 
-async fn seconds(n: u64) {
-    sleep(Duration::from_secs(n)).await;
-}
-
-fn state(reply: &Result<UserReply, Trouble>) -> Option<JobState> {
-    match reply {
-        Ok(UserReply::Known(status) | UserReply::Created(status)) => Some(status.state),
-        _ => None,
-    }
-}
-
-fn no_rule_broken(world: &World) {
-    assert!(world.broken().is_empty(), "{:?}", world.broken());
-}
-
 /// Two services on their machines; the leader, and another controller.
 async fn two_services() -> (World, usize, usize) {
     let world = World::new(4).await;
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -6,29 +6,14 @@
 
 use std::time::Duration;
 
-use common::World;
+use common::{World, no_rule_broken, seconds, state};
 use serde_json::json;
 use stonewheel::{
     node::{Trouble, UserReply},
     protocol::{JobState, Write},
     store,
 };
-use tokio::time::{Instant, sleep};
-
-async fn seconds(n: u64) {
-    sleep(Duration::from_secs(n)).await;
-}
-
-fn state(reply: &Result<UserReply, Trouble>) -> Option<JobState> {
-    match reply {
-        Ok(UserReply::Known(status) | UserReply::Created(status)) => Some(status.state),
-        _ => None,
-    }
-}
-
-fn no_rule_broken(world: &World) {
-    assert!(world.broken().is_empty(), "{:?}", world.broken());
-}
+use tokio::time::Instant;
 
 /// Submits an array of two short tasks that needs `needs`.
 async fn submit(world: &World, node: usize, id: &str, needs: &[&str]) -> Option<JobState> {
