--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -17,7 +17,7 @@
     node::{Node, ReportReply, Trouble, UserReply},
     peers,
     protocol::{
-        Cause, Condition, DirectOrders, Event, Events, Item, ItemPage, JobSpec, JobState,
+        Cause, Condition, DirectOrders, Event, Events, Features, Item, ItemPage, JobSpec, JobState,
         ListedMachine, MachineId, MachineList, MachineState, MachineType, Op, Order, Rental,
         Report, TaskReport, TaskState, Transaction, Write,
     },
@@ -506,6 +506,8 @@
     rented: HashMap<String, Vec<MachineId>>,
     next: u32,
     broken: Vec<String>,
+    /// Nodes that speak as the version before does.
+    of_the_version_before: BTreeSet<usize>,
     /// Nodes cut off from the other controllers.
     severed: BTreeSet<usize>,
     starts: u32,
@@ -598,8 +600,16 @@
 
     /// The same, where limits of the state service are to come.
     pub async fn with_coming_limits(machines: u32) -> Self {
+        Self::in_upgrade(machines, &[]).await
+    }
+
+    /// The same, while these nodes are still of the version before.
+    pub async fn in_upgrade(machines: u32, old: &[usize]) -> Self {
         let world = Self::default();
         lock(&world.site).coming_limits = true;
+        for node in old {
+            world.set_of_the_version_before(*node, true);
+        }
         world.begin(machines).await
     }
 
@@ -753,13 +763,31 @@
                     {
                         // As over the wire.
                         let frame = peers::encode(sender.heartbeat(&format!("m-{to}")));
-                        receiver.on_message(peers::decode(&frame).expect("a heartbeat"));
+                        let mut message = peers::decode(&frame).expect("a heartbeat");
+                        if self.is_of_the_version_before(from) {
+                            message.features = Features::default();
+                        }
+                        receiver.on_message(message);
                     }
                 }
             }
         }
     }
 
+    /// From now on a node says no more than the version before.
+    pub fn set_of_the_version_before(&self, node: usize, old: bool) {
+        let mut site = lock(&self.site);
+        if old {
+            site.of_the_version_before.insert(node);
+        } else {
+            site.of_the_version_before.remove(&node);
+        }
+    }
+
+    fn is_of_the_version_before(&self, node: usize) -> bool {
+        lock(&self.site).of_the_version_before.contains(&node)
+    }
+
     /// Cuts a node's links to the other controllers.
     pub fn sever(&self, node: usize) {
         lock(&self.site).severed.insert(node);
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -136,3 +136,29 @@
     assert!(matches!(large, Err(StateError::Rejected(_))), "{large:?}");
     assert_eq!(state.keys("sw/"), ["sw/a", "sw/c"]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn no_finer_page_is_written_before_the_last_controller_is_upgraded() {
+    let world = World::in_upgrade(3, &[0, 2]).await;
+    let gang = json!({"Shape": "ensemble", "Spokes": 100, "Gpus": 0.0, "Cores": 1.0,
+        "MemoryGb": 1.0});
+    assert!(world.submit(1, "j-000001", gang).await.is_ok());
+    // Work that fits a common page goes on in a mixed set.
+    world.runs_for("j-000002", 3);
+    assert!(world.submit(1, "j-000002", json!({"Spokes": 2})).await.is_ok());
+    world.until_state(1, "j-000002", JobState::Done).await;
+    for upgraded in [0, 2] {
+        assert!(world.state.keys("sw/p/j-000001/").is_empty());
+        assert!(world.machines_of("j-000001").is_empty());
+        // One is killed and comes back new; leaders change with it.
+        world.kill_node(upgraded);
+        sleep(Duration::from_secs(4)).await;
+        world.set_of_the_version_before(upgraded, false);
+        world.start_node(upgraded);
+        sleep(Duration::from_secs(1)).await;
+    }
+    world.until("the gang runs", || !world.machines_of("j-000001").is_empty()).await;
+    assert!(world.state.keys("sw/p/j-000001/").len() > 1);
+    assert_eq!(world.state.rejected(), 0);
+    assert!(world.broken().is_empty(), "{:?}", world.broken());
+}
