--- a/src/dependencies/tests.rs
+++ b/src/dependencies/tests.rs
@@ -107,3 +107,9 @@
     }
     assert!(graph.nodes.is_empty() && graph.dependants.is_empty());
 }
+
+#[test]
+fn a_job_that_the_graph_does_not_know_waits() {
+    let graph = diamond();
+    assert!(graph.waits("j-000099"));
+}
--- /dev/null
+++ b/tests/common/faults.rs
@@ -0,0 +1,59 @@
+//! Faults that are drawn with seeded randomness: messages that come late, and
+//! transactions that are carried out late or lose their answer.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+/// Which part of the messages of one kind comes late, and by how much.
+#[derive(Debug)]
+struct Delays {
+    rng: StdRng,
+    share: f64,
+    seconds: std::ops::Range<f64>,
+}
+
+impl Delays {
+    fn draw(&mut self) -> Option<Duration> {
+        let late = self.rng.random_bool(self.share);
+        late.then(|| Duration::from_secs_f64(self.rng.random_range(self.seconds.clone())))
+    }
+}
+
+/// Direct orders that are held up on their way, unanswered, and carried out once.
+#[derive(Debug)]
+pub struct LateCommands(Delays);
+
+impl LateCommands {
+    pub fn new(seed: u64, share: f64, seconds: std::ops::Range<f64>) -> Self {
+        Self(Delays { rng: StdRng::seed_from_u64(seed), share, seconds })
+    }
+
+    /// How late the next order is, if it is.
+    pub fn draw(&mut self) -> Option<Duration> {
+        self.0.draw()
+    }
+}
+
+/// Transactions that get no answer: carried out late, or at once.
+#[derive(Debug)]
+pub struct LateTransactions {
+    delays: Delays,
+    /// Which part of them is carried out at once.
+    at_once: f64,
+}
+
+impl LateTransactions {
+    pub fn new(seed: u64, share: f64, at_once: f64) -> Self {
+        let delays = Delays { rng: StdRng::seed_from_u64(seed), share, seconds: 2.0..12.0 };
+        Self { delays, at_once }
+    }
+
+    /// How late the next transaction is, if it gets no answer. Zero: it is
+    /// carried out at once.
+    pub fn draw(&mut self) -> Option<Duration> {
+        let delay = self.delays.draw()?;
+        let at_once = self.delays.rng.random_bool(self.at_once);
+        Some(if at_once { Duration::ZERO } else { delay })
+    }
+}
