--- /dev/null
+++ b/src/controller/direct_orders.rs
@@ -0,0 +1,241 @@
+//! Orders sent to workers' own addresses.
+//!
+//! A request without an answer may still be carried out for as long as token and
+//! session match, and a worker that has cleared an attempt starts it again. So
+//! this module owns one invariant: **a start that was sent directly stays open
+//! until its own request is answered or the worker's session ends.** While it is
+//! open, the task's absence proves nothing, its exit is not cleared, and no other
+//! attempt of the task is placed on that machine. An answer to another request,
+//! even one that carries the same start, settles nothing of it.
+
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+
+use tokio::time::Instant;
+
+use super::{Deposed, Leader};
+use crate::{
+    fleet::{Machine, TaskKey, task_name},
+    protocol::{BODY_LIMIT, DirectOrders, MachineId, Op, Order, Report},
+};
+
+/// No less than what a worker's report holds for one task.
+const REPORTED_TASK_BYTES: usize = 128;
+
+/// A machine with this many open starts gets further ones only with the answers
+/// to its reports: their exits stay listed until its session ends, and may take
+/// up a small part of a report only.
+const MOST_OPEN_STARTS: usize = BODY_LIMIT / REPORTED_TASK_BYTES / 16;
+
+/// One attempt to run a task.
+pub type Attempt = (TaskKey, u64);
+
+/// Requests with starts that no answer has come for, of a worker's present
+/// session.
+#[derive(Debug, Default)]
+pub struct OpenStarts {
+    requests: BTreeMap<u64, Vec<Attempt>>,
+}
+
+impl OpenStarts {
+    fn sent(&mut self, request: u64, starts: Vec<Attempt>) {
+        if !starts.is_empty() {
+            self.requests.insert(request, starts);
+        }
+    }
+
+    /// The request was carried out or refused, or never left.
+    fn settled(&mut self, request: u64) {
+        self.requests.remove(&request);
+    }
+
+    /// Orders name a session, and are void in the next one.
+    pub fn end_session(&mut self) {
+        self.requests.clear();
+    }
+
+    fn attempts(&self) -> impl Iterator<Item = &Attempt> {
+        self.requests.values().flatten()
+    }
+
+    /// Whether an attempt may still be started by a request under way.
+    pub fn holds(&self, task: &TaskKey, attempt: u64) -> bool {
+        self.attempts().any(|(held, number)| held == task && *number == attempt)
+    }
+
+    /// The same for any attempt of a task.
+    pub fn holds_task(&self, task: &TaskKey) -> bool {
+        self.attempts().any(|(held, _)| held == task)
+    }
+
+    /// The same for any task of a job.
+    pub fn holds_job(&self, job: &str) -> bool {
+        self.attempts().any(|((held, _), _)| **held == *job)
+    }
+
+    fn count(&self) -> usize {
+        self.attempts().collect::<HashSet<_>>().len()
+    }
+}
+
+/// Machines with orders that should not wait for their next report, each once,
+/// the longest waiting first: calls may be fewer than machines.
+#[derive(Default)]
+pub struct CommandQueue {
+    order: VecDeque<MachineId>,
+    queued: BTreeSet<MachineId>,
+}
+
+impl CommandQueue {
+    pub fn push(&mut self, machine: MachineId) {
+        if self.queued.insert(machine.clone()) {
+            self.order.push_back(machine);
+        }
+    }
+
+    fn pop(&mut self) -> Option<MachineId> {
+        let machine = self.order.pop_front()?;
+        self.queued.remove(&machine);
+        Some(machine)
+    }
+
+    fn len(&self) -> usize {
+        self.order.len()
+    }
+}
+
+/// Orders that leave now for one worker.
+#[derive(Clone, Debug)]
+pub struct DirectRequest {
+    pub id: u64,
+    pub machine: MachineId,
+    pub addr: String,
+    pub orders: DirectOrders,
+}
+
+/// What became of a direct request.
+#[derive(Clone, Copy, Debug)]
+pub enum DirectOutcome<'a> {
+    /// Carried out, or refused as a whole: the worker's report after that.
+    Answered(&'a Report),
+    /// No connection came about, so it will never be carried out.
+    NotDelivered,
+    /// It may have been carried out, or may still be.
+    Unknown,
+}
+
+impl Leader {
+    /// Composes orders for as many machines as there are free calls, so that none
+    /// waits for a socket after it was decided.
+    pub fn take_direct(&mut self, now: Instant) -> Vec<DirectRequest> {
+        let mut requests = Vec::new();
+        for _ in 0..self.needs_command.len() {
+            if self.calls.len() >= self.settings.direct_calls() {
+                break;
+            }
+            let Some(id) = self.needs_command.pop() else { break };
+            let Some(machine) = self.fleet.machines.get(&id) else { continue };
+            if machine.commands_in_flight {
+                self.needs_command.push(id);
+                continue;
+            }
+            requests.extend(self.compose(&id, now));
+        }
+        requests
+    }
+
+    /// What a machine should be told now, if anything.
+    fn compose(&mut self, id: &MachineId, now: Instant) -> Option<DirectRequest> {
+        let machine = self.fleet.machines.get(id)?;
+        // A worker whose reports reach nobody, or not this leader yet, may still
+        // take orders: cancelled tasks are stopped there, and nothing else is
+        // asked of it.
+        let report = self.settings.report();
+        let usable = machine.usable(now, report) || machine.notice_until.is_some();
+        let commanded = usable && machine.mine;
+        if (machine.deleting && !commanded) || machine.addr.is_empty() {
+            return None;
+        }
+        let recorded = |key: &TaskKey| Some(self.jobs.get(&key.0)?.bound.get(&key.1)?.session);
+        let session = machine.session(machine.bound.iter().filter_map(recorded));
+        let may_start =
+            commanded && self.starts_allowed && machine.open_starts.count() < MOST_OPEN_STARTS;
+        let orders: Vec<Order> = machine
+            .bound
+            .iter()
+            .filter_map(|key| self.direct_order(key, session, commanded, may_start))
+            .collect();
+        if orders.is_empty() {
+            return None;
+        }
+        let starts = machine.bound.iter().filter_map(|key| {
+            let binding = self.jobs.get(&key.0)?.bound.get(&key.1)?;
+            let name = task_name(&key.0, key.1);
+            let starts = orders.iter().any(|o| o.op == Op::Start && o.task == name);
+            starts.then(|| (key.clone(), binding.attempt))
+        });
+        let starts: Vec<Attempt> = starts.collect();
+        self.requests_sent += 1;
+        let request = self.requests_sent;
+        self.calls.insert(request);
+        let machine = self.fleet.machines.get_mut(id)?;
+        machine.commands_in_flight = true;
+        machine.open_starts.sent(request, starts);
+        let addr = machine.addr.clone();
+        let orders = DirectOrders { token: self.token, session, orders };
+        Some(DirectRequest { id: request, machine: id.clone(), addr, orders })
+    }
+
+    /// What a worker is told directly of one task that is bound to it.
+    fn direct_order(
+        &self,
+        key: &TaskKey,
+        session: u64,
+        commanded: bool,
+        may_start: bool,
+    ) -> Option<Order> {
+        let job = self.jobs.get(&key.0)?;
+        let binding = job.bound.get(&key.1)?;
+        if binding.session != session || !binding.durable {
+            return None;
+        }
+        let cancelled = job.ended.is_some();
+        let stop = if cancelled { Some(0.0) } else { binding.stop.map(|stop| stop.grace_s) };
+        let op = match stop {
+            None if may_start && !binding.seen && job.may_start(binding) => Op::Start,
+            Some(_) if commanded && binding.seen => Op::Stop,
+            Some(_) if !commanded && cancelled => Op::Stop,
+            _ => return None,
+        };
+        let task = task_name(&key.0, key.1);
+        Some(Order { op, task, attempt: binding.attempt, grace_s: stop })
+    }
+
+    /// Takes in what became of a direct request.
+    pub fn on_direct(
+        &mut self,
+        request: &DirectRequest,
+        outcome: DirectOutcome,
+        now: Instant,
+    ) -> Result<(), Deposed> {
+        self.calls.remove(&request.id);
+        let Some(machine) = self.fleet.machines.get_mut(&request.machine) else { return Ok(()) };
+        machine.commands_in_flight = false;
+        match outcome {
+            // Another machine may have its address by now.
+            DirectOutcome::Answered(report) if report.machine == request.machine => {
+                machine.open_starts.settled(request.id);
+                self.take_report(report, true, now).map(|_| ())
+            }
+            DirectOutcome::NotDelivered => {
+                machine.open_starts.settled(request.id);
+                Ok(())
+            }
+            DirectOutcome::Answered(_) | DirectOutcome::Unknown => Ok(()),
+        }
+    }
+
+    /// Whether a machine may still start an attempt that it has been sent.
+    pub(super) fn may_still_start(machine: &Machine, key: &TaskKey, attempt: u64) -> bool {
+        machine.open_starts.holds(key, attempt)
+    }
+}
--- a/src/controller/job.rs
+++ b/src/controller/job.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use tokio::time::Instant;
+use tokio::time::{Duration, Instant};
 
 use crate::{
     protocol::{JobSpec, MachineId, Priority, Shape},
@@ -50,13 +50,37 @@
     pub(super) grace_s: f64,
 }
 
+/// When a job ended, as far as this controller knows.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ended {
+    /// When this leader learned of it.
+    pub(super) learned: Instant,
+    /// The earliest time at which its user may have been told.
+    pub(super) confirmed: Instant,
+}
+
+impl Ended {
+    pub(super) fn learned(now: Instant) -> Self {
+        Self { learned: now, confirmed: now }
+    }
+
+    /// When machines that still hold its tasks are returned. All of them must be
+    /// gone `limit` after the confirmation. Half of that is left for stopping
+    /// them; what was learned late gets half a lease, but not beyond three
+    /// quarters of the limit.
+    pub(super) fn machines_go_at(&self, limit: Duration, lease: Duration) -> Instant {
+        let late = (self.learned + lease / 2).min(self.confirmed + limit * 3 / 4);
+        late.max(self.confirmed + limit / 2)
+    }
+}
+
 /// A job that the leader knows, until its records are gone.
 pub(super) struct Job {
     pub(super) spec: Arc<JobSpec>,
     pub(super) arrival: u64,
     /// When this leader came to know it.
     pub(super) known_since: Instant,
-    pub(super) ended: Option<Instant>,
+    pub(super) ended: Option<Ended>,
     /// A job that it depends on is not done: it takes part in nothing.
     pub(super) waits_for_others: bool,
     /// The highest priority among the job and those that depend on it.
@@ -73,6 +97,8 @@
     pub(super) failures: u32,
     pub(super) held_until: Option<Instant>,
     pub(super) avoid: Vec<MachineId>,
+    /// Machines that may still start an earlier attempt of one of its tasks.
+    pub(super) lingers_on: BTreeSet<MachineId>,
     pub(super) pages: BTreeSet<u32>,
     /// Tasks that each of its pages covers, see `pages`.
     pub(super) page_tasks: u32,
@@ -97,6 +123,7 @@
             failures: 0,
             held_until: None,
             avoid: Vec::new(),
+            lingers_on: BTreeSet::new(),
             pages: BTreeSet::new(),
             page_tasks,
             ending: false,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -6,11 +6,13 @@
 //! start leave; an exit is committed first, and only then is it cleared from
 //! the worker.
 //!
-//! `reports` reviews what workers say, `planner` makes scheduling passes,
+//! `reports` reviews what workers say, `direct_orders` sends orders to their own
+//! addresses, `planner` makes scheduling passes,
 //! `writes` and `pages` make them durable, `autoscaler` rents and returns
 //! machines, `job` holds one job; here is what they share, and the time.
 
 mod autoscaler;
+mod direct_orders;
 mod job;
 mod pages;
 mod planner;
@@ -25,7 +27,9 @@
 use tokio::time::{Duration, Instant};
 use tracing::{info, warn};
 
-use job::{Binding, Job, Stop};
+use direct_orders::CommandQueue;
+pub use direct_orders::{DirectOutcome, DirectRequest, OpenStarts};
+use job::{Binding, Ended, Job, Stop};
 pub use writes::{Commit, CommitKind};
 
 use crate::{
@@ -85,7 +89,12 @@
     /// The load of work that may use spot machines, over the last boot time.
     spot_loads: VecDeque<(Instant, f64)>,
     /// Machines with orders that should not wait for the next report.
-    needs_command: BTreeSet<MachineId>,
+    needs_command: CommandQueue,
+    /// Direct requests under way, and how many were sent in this term.
+    calls: BTreeSet<u64>,
+    requests_sent: u64,
+    /// Whether work may be started, see `allow_starts`.
+    starts_allowed: bool,
     deletions: Vec<MachineId>,
     rental_count: u64,
     next_round: Instant,
@@ -131,7 +140,10 @@
             rentals: Vec::new(),
             renting: Vec::new(),
             spot_loads: VecDeque::new(),
-            needs_command: BTreeSet::new(),
+            needs_command: CommandQueue::default(),
+            calls: BTreeSet::new(),
+            requests_sent: 0,
+            starts_allowed: true,
             deletions: Vec::new(),
             rental_count: 0,
             next_round: now,
@@ -168,7 +180,7 @@
             job.page_tasks = self.settings.page_tasks();
         }
         let ended = picture.ends.contains_key(id) || picture.dependencies.is_cancelled(id);
-        job.ended = ended.then_some(now);
+        job.ended = ended.then(|| Ended::learned(now));
         job.waits_for_others = picture.dependencies.waits(id);
         job.priority = picture.dependencies.effective_priority(id).unwrap_or(job.priority);
         for (number, entry) in picture.pages.get(id).into_iter().flatten() {
@@ -230,8 +242,10 @@
                 }
                 Change::Ended(id) => {
                     if let Some(job) = self.jobs.get_mut(id) {
-                        job.ended.get_or_insert(now);
-                        self.needs_command.extend(job.bound.values().map(|b| b.machine.clone()));
+                        job.ended.get_or_insert(Ended::learned(now));
+                        for binding in job.bound.values() {
+                            self.needs_command.push(binding.machine.clone());
+                        }
                         self.ending.insert(id.clone());
                         self.changed = true;
                         self.round_due = true;
@@ -286,6 +300,7 @@
             for key in std::mem::take(&mut self.stop_later) {
                 self.stop(&key, false, now);
             }
+            self.delete_machines_with_cancelled_tasks(now, paused);
         }
         // Without the state service nothing new can be made durable, and an
         // old picture is no ground for returning machines.
@@ -298,7 +313,6 @@
         let lease = self.settings.worker_lease();
         let unpaused = *self.unpaused.get_or_insert(now);
         if care {
-            self.delete_machines_with_cancelled_tasks(now);
             let provable =
                 alone.is_some_and(|since| now > since + lease) || now < unpaused + lease * 2;
             self.return_machines(now, provable);
@@ -383,7 +397,7 @@
         for (task, binding) in &mut job.bound {
             if (gang || *task == key.1) && binding.stop.is_none() {
                 binding.stop = Some(stop);
-                self.needs_command.insert(binding.machine.clone());
+                self.needs_command.push(binding.machine.clone());
             }
         }
     }
@@ -397,20 +411,29 @@
                 let machine = self.fleet.machines.get(&binding.machine);
                 let away = |m: &Machine| m.reported.is_none_or(|at| now > at + silent);
                 if machine.is_some_and(|m| away(m) && !m.addr.is_empty() && !m.commands_in_flight) {
-                    self.needs_command.insert(binding.machine.clone());
+                    self.needs_command.push(binding.machine.clone());
                 }
             }
         }
     }
 
     /// A cancelled job's tasks must be gone in time, even from a machine that
-    /// can't be reached: then the machine itself goes.
-    fn delete_machines_with_cancelled_tasks(&mut self, now: Instant) {
-        let limit = Duration::from_secs_f64(self.settings.cluster.workers.cancel_s / 2.0);
+    /// can't be reached, or that may still start one: then the machine itself
+    /// goes. While the service is paused, a silent machine's lease runs out by
+    /// itself, or whoever renews it knows of the cancellation in time; those that
+    /// this controller keeps alive have to be returned then too.
+    fn delete_machines_with_cancelled_tasks(&mut self, now: Instant, paused: bool) {
+        let limit = Duration::from_secs_f64(self.settings.cluster.workers.cancel_s);
+        let lease = self.settings.worker_lease();
+        let kept_alive = |id: &MachineId| {
+            let machine = self.fleet.machines.get(id);
+            machine.and_then(|m| m.reported).is_some_and(|at| now < at + lease)
+        };
         let mut late = Vec::new();
         for job in self.jobs.values() {
-            if job.ended.is_some_and(|at| now > at + limit) {
-                late.extend(job.bound.values().map(|b| b.machine.clone()));
+            if job.ended.is_some_and(|ended| now > ended.machines_go_at(limit, lease)) {
+                let machines = job.bound.values().map(|binding| &binding.machine);
+                late.extend(machines.filter(|id| !paused || kept_alive(id)).cloned());
             }
         }
         for id in late {
@@ -418,6 +441,20 @@
         }
     }
 
+    /// Whether work may be started from now on: not while the leadership is in
+    /// doubt or cancellations may be unknown. Renewing a worker's lease needs
+    /// less, since the lease bounds what it keeps alive.
+    pub fn allow_starts(&mut self, allowed: bool) {
+        self.starts_allowed = allowed;
+    }
+
+    /// A job's end was confirmed to its user no earlier than this.
+    pub fn confirmed_since(&mut self, id: &str, at: Instant) {
+        if let Some(ended) = self.jobs.get_mut(id).and_then(|job| job.ended.as_mut()) {
+            ended.confirmed = ended.confirmed.min(at);
+        }
+    }
+
     /// Whether there are more machines than connections to hear them by. CancellationNotice
     /// once a term.
     pub fn outnumbered(&mut self) -> bool {
@@ -451,7 +488,8 @@
             }
         }
         let waiting = self.jobs.values().filter(|j| j.bound.is_empty() && j.is_active()).count();
-        let dependent = self.jobs.values().filter(|j| j.waits_for_others).count();
+        let dependent =
+            self.jobs.values().filter(|j| j.waits_for_others && j.ended.is_none()).count();
         format!(
             "jobs {} (waiting {waiting}, for others {dependent}), GPUs {} of {} ordinary ({misplaced} by work for spot) and {} of {} spot, machines {} (booting {booting}, ready {ready}, idle {idle}), {:?}",
             self.jobs.len(),
--- a/src/controller/planner.rs
+++ b/src/controller/planner.rs
@@ -187,10 +187,20 @@
             // Known only once all jobs of the team are seen together.
             guaranteed: false,
             held: crowded || job.held_until.is_some(),
-            avoid: job.avoid.clone(),
+            avoid: self.avoided(job),
         }
     }
 
+    /// Machines that a job's tasks should not be placed on: they failed them, or
+    /// may still start earlier attempts of them.
+    fn avoided(&self, job: &Job) -> Vec<MachineId> {
+        let open = |id: &&MachineId| {
+            let machine = self.fleet.machines.get(*id);
+            machine.is_some_and(|m| m.open_starts.holds_job(&job.spec.id))
+        };
+        job.avoid.iter().chain(job.lingers_on.iter().filter(open)).cloned().collect()
+    }
+
     /// Within how many seconds a job's tasks should start, if its class has an
     /// aim for that.
     pub(super) fn wait_aim(&self, spec: &JobSpec) -> Option<f64> {
@@ -213,6 +223,10 @@
                 continue;
             }
             let Some(machine) = self.fleet.machines.get_mut(&machine_id) else { continue };
+            // An earlier attempt may still start there, and would meet this one.
+            if machine.open_starts.holds_task(&(id.clone(), task)) {
+                continue;
+            }
             let Some(zone) = self.settings.zone_index(&machine.zone) else { continue };
             // All tasks of a gang's attempt share its number; elsewhere a
             // number is never used twice.
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -9,7 +9,7 @@
 use super::{Deposed, Leader, Stop, use_team};
 use crate::{
     fleet::{Freshness, TaskKey, parse_task, task_name},
-    protocol::{Cause, DirectOrders, MachineId, Op, Order, Report, Shape, TaskReport, TaskState},
+    protocol::{Cause, MachineId, Op, Order, Report, Shape, TaskReport, TaskState},
     scheduler::Resources,
 };
 
@@ -40,7 +40,7 @@
     /// Takes a report and tells which orders are due. As the answer to direct
     /// orders it proves no absence: the worker may still be waiting for an
     /// answer to its last own report, with a start order in it.
-    fn take_report(
+    pub(super) fn take_report(
         &mut self,
         report: &Report,
         direct: bool,
@@ -101,12 +101,13 @@
         let mine = machine.mine;
         let Some(job) = self.jobs.get_mut(&key.0) else { return };
         let ended = job.ended.is_some();
-        let may_start = job.bound.get(&key.1).is_some_and(|binding| job.may_start(binding));
+        let may_start = self.starts_allowed
+            && job.bound.get(&key.1).is_some_and(|binding| job.may_start(binding));
         let Some(binding) = job.bound.get_mut(&key.1) else { return };
         if binding.session != report.session {
             return;
         }
-        let unsure = direct || machine.unsure.contains(&(key.clone(), binding.attempt));
+        let unsure = direct || Self::may_still_start(machine, key, binding.attempt);
         match reported.filter(|t| t.attempt == binding.attempt) {
             Some(task) if task.state == TaskState::Exited => {
                 machine.deaf = 0;
@@ -180,11 +181,8 @@
                 // A job's last exit is durable only with the job's end.
                 let finishing = job.is_some_and(|j| j.remaining() == 0);
                 // While it is listed, a late start order has no effect.
-                let unsure = self
-                    .fleet
-                    .machines
-                    .get(&report.machine)
-                    .is_some_and(|m| m.unsure.contains(&(key.clone(), task.attempt)));
+                let machine = self.fleet.machines.get(&report.machine);
+                let unsure = machine.is_some_and(|m| Self::may_still_start(m, key, task.attempt));
                 if !finishing && !unsure && !self.unwritten(key) {
                     orders.push(Order {
                         op: Op::Forget,
@@ -278,6 +276,9 @@
         }
         use_team(&mut self.usage, &job.spec, -1.0);
         if let Some(machine) = self.fleet.machines.get_mut(&binding.machine) {
+            if !done && machine.open_starts.holds_task(key) {
+                job.lingers_on.insert(binding.machine.clone());
+            }
             machine.bound.remove(key);
             if machine.bound.is_empty() {
                 machine.idle_since = Some(now);
@@ -319,82 +320,6 @@
         }
     }
 
-    /// Orders for machines that should not wait for their next report: the
-    /// address, and what to send there.
-    pub fn take_direct(&mut self, now: Instant) -> Vec<(MachineId, String, DirectOrders)> {
-        let mut direct = Vec::new();
-        let report = self.settings.report();
-        for id in std::mem::take(&mut self.needs_command) {
-            let Some(machine) = self.fleet.machines.get_mut(&id) else { continue };
-            // A worker whose reports reach nobody, or not this leader yet, may
-            // still take orders: cancelled tasks are stopped there, and nothing
-            // else is asked of it.
-            let usable = machine.usable(now, report) || machine.notice_until.is_some();
-            let commanded = usable && machine.mine;
-            if machine.deleting && !commanded {
-                continue;
-            }
-            if machine.commands_in_flight {
-                self.needs_command.insert(id);
-                continue;
-            }
-            let recorded = |key: &TaskKey| Some(self.jobs.get(&key.0)?.bound.get(&key.1)?.session);
-            let session = machine.session(machine.bound.iter().filter_map(recorded));
-            let mut orders = Vec::new();
-            for key in &machine.bound {
-                let Some(job) = self.jobs.get(&key.0) else { continue };
-                let Some(binding) = job.bound.get(&key.1) else { continue };
-                if binding.session != session || !binding.durable {
-                    continue;
-                }
-                let stop =
-                    if job.ended.is_some() { Some(0.0) } else { binding.stop.map(|s| s.grace_s) };
-                let start = stop.is_none() && !binding.seen && commanded && job.may_start(binding);
-                if start {
-                    machine.unsure.insert((key.clone(), binding.attempt));
-                } else if stop.is_none()
-                    || (commanded && !binding.seen)
-                    || (!commanded && job.ended.is_none())
-                {
-                    continue;
-                }
-                orders.push(Order {
-                    op: if start { Op::Start } else { Op::Stop },
-                    task: task_name(&key.0, key.1),
-                    attempt: binding.attempt,
-                    grace_s: stop,
-                });
-            }
-            if !orders.is_empty() && !machine.addr.is_empty() {
-                machine.commands_in_flight = true;
-                let orders = DirectOrders { token: self.token, session, orders };
-                direct.push((id, machine.addr.clone(), orders));
-            }
-        }
-        direct
-    }
-
-    /// The answer to direct orders, or none.
-    pub fn on_direct(
-        &mut self,
-        id: &MachineId,
-        orders: &DirectOrders,
-        answer: Option<&Report>,
-        now: Instant,
-    ) -> Result<(), Deposed> {
-        let Some(machine) = self.fleet.machines.get_mut(id) else { return Ok(()) };
-        machine.commands_in_flight = false;
-        let Some(report) = answer.filter(|r| r.machine == *id) else { return Ok(()) };
-        if machine.seen.0 == orders.session {
-            for order in &orders.orders {
-                if let Some(key) = parse_task(&order.task) {
-                    machine.unsure.remove(&(key, order.attempt));
-                }
-            }
-        }
-        self.take_report(report, true, now).map(|_| ())
-    }
-
     /// Whether this node alone seems cut off from the workers. Found out late,
     /// a successor would have no time left to be found by them within their
     /// lease: they look for it only after an answer has failed to come.
--- a/src/controller/writes.rs
+++ b/src/controller/writes.rs
@@ -3,7 +3,7 @@
 use tokio::time::Instant;
 use tracing::info;
 
-use super::Leader;
+use super::{Ended, Leader};
 use crate::{
     protocol::{Condition, JobId, JobState, Write},
     state::IN_FLIGHT,
@@ -50,6 +50,8 @@
                 self.ending.insert(id);
             } else if let Some(commit) = self.end_commit(&id, &lead, picture) {
                 commits.push(commit);
+            } else if self.jobs.get(&id).is_none_or(|job| !job.ending) {
+                self.cancelling.remove(&id);
             }
         }
         if !self.types_stored && !self.types.is_empty() {
@@ -146,46 +148,41 @@
     /// Creates the end record of a job whose tasks are all done, and drops
     /// the bulky records of one that has ended and left every machine.
     fn end_commit(&mut self, id: &JobId, lead: &Condition, picture: &Picture) -> Option<Commit> {
-        let job = self.jobs.get_mut(id)?;
-        let finished = job.remaining() == 0;
-        if job.ending || !job.bound.is_empty() || !(finished || job.ended.is_some()) {
+        let job = self.jobs.get(id)?;
+        if job.ending || !job.bound.is_empty() {
             return None;
         }
         if self.inflight.range((id.clone(), 0)..=(id.clone(), u32::MAX)).next().is_some() {
             // Asked again when that write is through.
             return None;
         }
-        job.ending = true;
         let mut conditions = vec![lead.clone()];
         let mut writes = Vec::new();
-        let end = if picture.ends.contains_key(id) {
-            None
-        } else if picture.dependencies.is_cancelled(id) {
-            Some(End { state: JobState::Cancelled, done: 0 })
-        } else if job.ended.is_none() {
-            Some(End { state: JobState::Done, done: job.spec.tasks })
-        } else {
-            None
-        };
-        if let Some(end) = end {
+        if !picture.ends.contains_key(id) {
+            // Nothing is dropped before the end is in the records: without it the
+            // job would be forgotten, and what depends on it would wait for ever.
+            let end = self.end_of(id, picture)?;
             let key = store::end_key(id);
             conditions.push(Condition { key: key.clone(), version: 0 });
             writes.push(Write::Put { key, value: store::value(&end).ok()?, lease: None });
         }
-        let limit = self.settings.state_limits().transaction_writes;
-        let pages = picture.pages.get(id);
-        for page in pages.into_iter().flat_map(|p| p.keys()) {
-            if writes.len() + 1 >= limit {
-                break;
-            }
-            writes.push(Write::Delete { key: store::page_key(id, *page) });
-        }
-        if pages.map_or(0, |p| p.len()) <= writes.len() {
-            writes.push(Write::Delete { key: store::job_key(id) });
-        }
+        let room = self.settings.state_limits().transaction_writes - writes.len();
+        writes.extend(dropped_records(id, picture, room));
+        self.jobs.get_mut(id)?.ending = true;
         Some(Commit { conditions, writes, kind: CommitKind::End { job: id.clone() } })
     }
 
+    /// How a job without an end record ended, as far as this leader may say so.
+    /// None if it has not, or if another controller's record will tell.
+    fn end_of(&self, id: &JobId, picture: &Picture) -> Option<End> {
+        let job = self.jobs.get(id)?;
+        if picture.dependencies.is_cancelled(id) {
+            return Some(End { state: JobState::Cancelled, done: 0 });
+        }
+        let done = job.ended.is_none() && job.remaining() == 0;
+        done.then_some(End { state: JobState::Done, done: job.spec.tasks })
+    }
+
     /// A write is durable. The picture has it already.
     pub fn committed(&mut self, kind: &CommitKind, picture: &Picture, now: Instant) {
         match kind {
@@ -198,7 +195,7 @@
                     {
                         binding.durable = true;
                         if !binding.seen {
-                            self.needs_command.insert(binding.machine.clone());
+                            self.needs_command.push(binding.machine.clone());
                         }
                     }
                 }
@@ -211,7 +208,7 @@
                 let Some(job) = self.jobs.get_mut(id) else { return };
                 job.ending = false;
                 if picture.ends.contains_key(id) {
-                    job.ended.get_or_insert(now);
+                    job.ended.get_or_insert(Ended::learned(now));
                 }
                 if picture.jobs.contains_key(id) {
                     // More pages than one transaction drops.
@@ -243,7 +240,7 @@
                     job.ending = false;
                     // Cancelled in the meantime: the first end wins.
                     if picture.ends.contains_key(&id) {
-                        job.ended.get_or_insert(now);
+                        job.ended.get_or_insert(Ended::learned(now));
                     }
                     self.ending.insert(id);
                 }
@@ -256,3 +253,12 @@
         !self.dirty.is_empty() || !self.ending.is_empty() || !self.types_stored
     }
 }
+
+/// What one transaction drops of an ended job, in `room` writes: its pages, and
+/// with the last of them the job.
+fn dropped_records(id: &JobId, picture: &Picture, room: usize) -> Vec<Write> {
+    let pages = picture.pages.get(id).into_iter().flat_map(|pages| pages.keys());
+    let pages = pages.map(|page| store::page_key(id, *page));
+    let all = pages.chain(std::iter::once(store::job_key(id)));
+    all.take(room).map(|key| Write::Delete { key }).collect()
+}
--- a/src/dependencies.rs
+++ b/src/dependencies.rs
@@ -168,9 +168,10 @@
         }
     }
 
-    /// Whether a job that it needs is not done yet.
+    /// Whether a job that it needs is not done yet, or the graph doesn't know the
+    /// job: nothing is started without knowing what it waits for.
     pub fn waits(&self, job: &str) -> bool {
-        self.nodes.get(job).is_some_and(|node| !node.unfinished.is_empty() || node.cancelled)
+        self.nodes.get(job).is_none_or(|node| !node.unfinished.is_empty() || node.cancelled)
     }
 
     /// Whether it is cancelled with a job that it needs, and its own end is not
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,7 +7,7 @@
 //! answer and from when surely no other controller answers (`lease_renewal.rs`).
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     sync::Arc,
 };
@@ -15,12 +15,10 @@
 use futures_util::future::BoxFuture;
 use hyper::{Method, StatusCode};
 
-use tokio::{
-    sync::Semaphore,
-    time::{Duration, Instant},
-};
+use tokio::time::{Duration, Instant};
 
 use crate::{
+    controller::OpenStarts,
     http::client::{CallError, HttpClient},
     protocol::{DirectOrders, JobId, ListedMachine, MachineId, MachineState, Report},
     scheduler::Resources,
@@ -47,12 +45,11 @@
     -> BoxFuture<'_, Result<Report, CallError>>;
 }
 
+/// Each call takes a socket; the leader composes no more orders than there are
+/// sockets for them (`controller/direct_orders.rs`), so none waits here.
 pub struct HttpWorkers {
     client: HttpClient,
     timeout: Duration,
-    /// A socket for each: without a bound, a thousand machines that restart
-    /// together would leave none for the state service.
-    calls: Semaphore,
 }
 
 impl HttpWorkers {
@@ -60,8 +57,10 @@
         let timeout = settings.report();
         // Orders to one machine mostly come alone, so nothing is kept open
         // for longer than a call may last.
-        let client = HttpClient::new(1, timeout / 4, timeout);
-        Self { client, timeout, calls: Semaphore::new(settings.direct_calls()) }
+        // A connection is given up before the call is, so that it is known then
+        // that nothing was sent.
+        let client = HttpClient::new(1, timeout / 4, timeout * 3 / 4);
+        Self { client, timeout }
     }
 }
 
@@ -75,7 +74,6 @@
         Box::pin(async move {
             let addr = addr.map_err(|e| CallError::Malformed(e.to_string()))?;
             let body = Some(&orders);
-            let _call = self.calls.acquire().await;
             let answer =
                 self.client.call(Method::POST, addr, "/commands", body, self.timeout).await?;
             match answer.status {
@@ -109,11 +107,8 @@
     /// No task of this session or an earlier one can be on the machine.
     pub dead_session: u64,
     pub bound: BTreeSet<TaskKey>,
-    /// Direct start orders of this session that no answer has come for: they
-    /// may be carried out at any time until the session ends. Till then their
-    /// tasks' absence proves nothing, and clearing them would let them run
-    /// again.
-    pub unsure: HashSet<(TaskKey, u64)>,
+    /// Direct start orders of this session that may still be carried out.
+    pub open_starts: OpenStarts,
     /// Direct orders are under way.
     pub commands_in_flight: bool,
     /// What tasks on the machine use that the leader has not bound there.
@@ -149,7 +144,7 @@
             sent_away: None,
             dead_session: 0,
             bound: BTreeSet::new(),
-            unsure: HashSet::new(),
+            open_starts: OpenStarts::default(),
             commands_in_flight: false,
             strangers: Resources::default(),
             images: Vec::new(),
@@ -265,7 +260,7 @@
             machine.shunned_until = Some(now + lease * machine.deaf);
         }
         if new_session {
-            machine.unsure.clear();
+            machine.open_starts.end_session();
         }
         if machine.answered.is_none() {
             // The list may have guessed; the machine itself knows.
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -12,14 +12,18 @@
 use serde::{Serialize, de::DeserializeOwned};
 use thiserror::Error;
 
-/// No usable answer came: the request may have been carried out, may still be,
-/// or may never be.
+/// No usable answer came: unless it says otherwise, the request may have been
+/// carried out, may still be, or may never be.
 #[derive(Debug, Error)]
 pub enum CallError {
     #[error("no answer in time")]
     Timeout,
     #[error("connection: {0}")]
     Connection(String),
+    /// No connection came about, so the request was certainly not carried out:
+    /// an attempt that is given up does not complete later.
+    #[error("not connected: {0}")]
+    NotConnected(String),
     #[error("malformed answer: {0}")]
     Malformed(String),
 }
@@ -77,7 +81,15 @@
             .body(Full::from(bytes))
             .map_err(|e| failed(&e))?;
         let exchange = async {
-            let response = self.client.request(request).await.map_err(|e| failed(&e))?;
+            let sent = self.client.request(request).await;
+            let response = sent.map_err(|error| {
+                let reason = error.to_string();
+                if error.is_connect() {
+                    CallError::NotConnected(reason)
+                } else {
+                    CallError::Connection(reason)
+                }
+            })?;
             let status = response.status();
             let body = response.into_body().collect().await.map_err(|e| failed(&e))?;
             Ok(Answer { status, body: body.to_bytes() })
--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -10,8 +10,9 @@
 use super::{Node, until};
 use crate::{
     cloud::CloudError,
-    controller::{Commit, CommitKind, Leader},
-    protocol::{DirectOrders, MachineId, Rental},
+    controller::{Commit, CommitKind, DirectOutcome, DirectRequest, Leader},
+    http::client::CallError,
+    protocol::{MachineId, Rental},
     state::{StateError, lock},
     store::Page,
 };
@@ -37,8 +38,11 @@
         let picture = lock(&node.picture);
         let mut term = lock(&node.term);
         let Some(held) = term.as_mut().filter(|t| t.version == version) else { return };
-        let leader =
-            Leader::new(node.settings.clone(), version, held.token, &picture, Instant::now());
+        let now = Instant::now();
+        let mut leader = Leader::new(node.settings.clone(), version, held.token, &picture, now);
+        for (id, at) in lock(&node.confirmed_since).iter() {
+            leader.confirmed_since(id, *at);
+        }
         info!(token = held.token, "{}", leader.summary(Instant::now()));
         held.leader = Some(leader);
     }
@@ -49,6 +53,7 @@
         let now = Instant::now();
         let paused = node.in_doubt();
         let alone = lock(&node.peers.promises).alone_since(now);
+        let knows_cancellations = node.knows_cancellations(now, node.settings.leader_lease());
         let spare = node.writer.spare();
         let small_pages = node.peers.all_know_small_pages(&node.settings.members);
         let due = {
@@ -57,6 +62,7 @@
                 if small_pages {
                     leader.allow_small_pages();
                 }
+                leader.allow_starts(!paused && knows_cancellations);
                 leader.tick(now, paused, alone);
                 leader.took(now, now.elapsed());
                 if told + report * 10 < now {
@@ -79,8 +85,8 @@
         for commit in commits {
             work.spawn(until(stop.clone(), carry(node.clone(), version, commit)));
         }
-        for (id, addr, orders) in direct {
-            work.spawn(until(stop.clone(), send_commands(node.clone(), version, id, addr, orders)));
+        for request in direct {
+            work.spawn(until(stop.clone(), send_direct(node.clone(), version, request)));
         }
         for rental in rentals {
             work.spawn(until(stop.clone(), rent(node.clone(), version, rental)));
@@ -152,18 +158,17 @@
 }
 
 /// Sends orders to a worker's own address.
-async fn send_commands(
-    node: Arc<Node>,
-    version: u64,
-    id: MachineId,
-    addr: String,
-    orders: DirectOrders,
-) {
-    let answer = node.workers.command(&addr, orders.clone()).await;
+async fn send_direct(node: Arc<Node>, version: u64, request: DirectRequest) {
+    let answer = node.workers.command(&request.addr, request.orders.clone()).await;
+    let outcome = match &answer {
+        Ok(report) => DirectOutcome::Answered(report),
+        Err(CallError::NotConnected(_)) => DirectOutcome::NotDelivered,
+        Err(_) => DirectOutcome::Unknown,
+    };
     if let Err(error) = &answer {
-        debug!(machine = %id, %error, "direct orders");
+        debug!(machine = %request.machine, %error, "direct orders");
     }
-    node.take_direct(version, &id, &orders, answer.as_ref().ok());
+    node.take_direct(version, &request, outcome);
 }
 
 async fn rent(node: Arc<Node>, version: u64, rental: Rental) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -33,7 +33,7 @@
     fleet::WorkerApi,
     http, peers,
     peers::Peers,
-    protocol::{JobStatus, MachineId, Order},
+    protocol::{JobId, JobStatus, MachineId, Order},
     settings::Settings,
     state::{Budget, StateApi, Writer, lock},
     store::{Lead, Picture},
@@ -108,6 +108,9 @@
     renewed_workers: Mutex<HashMap<MachineId, Instant>>,
     /// When a report was last turned away or answered in a leader's stead.
     reports_turned_away: Mutex<Option<Instant>>,
+    /// For ended jobs that still have records: the earliest time at which their
+    /// users may have been told.
+    confirmed_since: Mutex<HashMap<JobId, Instant>>,
     /// When the watch last brought that another node turned reports away.
     turned_away_elsewhere: Mutex<Option<Instant>>,
 }
@@ -152,6 +155,7 @@
             started: Instant::now(),
             renewed_workers: Mutex::default(),
             reports_turned_away: Mutex::new(None),
+            confirmed_since: Mutex::default(),
             turned_away_elsewhere: Mutex::new(None),
         })
     }
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -8,7 +8,7 @@
 
 use super::{Node, Trouble};
 use crate::{
-    protocol::{Events, Write},
+    protocol::{Events, JobId, Write},
     state::{Reserve, StateError, lock},
     store::{Change, PREFIX},
 };
@@ -37,13 +37,34 @@
         if changes.contains(&Change::ReportsTurnedAway) {
             *lock(&self.turned_away_elsewhere) = Some(Instant::now());
         }
+        self.note_confirmations(changes);
         let picture = lock(&self.picture);
         if let Some(leader) = lock(&self.term).as_mut().and_then(|t| t.leader.as_mut()) {
             leader.on_changes(changes, &picture, Instant::now());
+            let confirmed_since = lock(&self.confirmed_since);
+            for (id, at) in ended(changes).filter_map(|id| confirmed_since.get_key_value(id)) {
+                leader.confirmed_since(id, *at);
+            }
             self.work.notify_one();
         }
     }
 
+    /// Notes from when on users may have been told of these ends: not before the
+    /// moment up to which all cancellations were known. What a process finds when
+    /// it starts may be older than it is; it counts as told a quarter of the
+    /// limit before.
+    fn note_confirmations(&self, changes: &[Change]) {
+        let picture = lock(&self.picture);
+        let mut confirmed_since = lock(&self.confirmed_since);
+        confirmed_since.retain(|id, _| picture.jobs.contains_key(id));
+        let unknown = Duration::from_secs_f64(self.settings.cluster.workers.cancel_s / 4.0);
+        let before = self.started.checked_sub(unknown).unwrap_or(self.started);
+        let known = self.cancellations_known_until().unwrap_or(before);
+        for id in ended(changes).filter(|id| picture.jobs.contains_key(*id)) {
+            confirmed_since.entry(id.clone()).or_insert(known);
+        }
+    }
+
     fn take_events(&self, events: Events) {
         let changes = lock(&self.picture).apply(events.events, events.revision);
         self.dispatch(&changes);
@@ -66,16 +87,26 @@
         *lock(&self.state_seen) = (Instant::now(), ok);
     }
 
-    /// Reads all records. The list takes several requests, so it is only as
-    /// new as its first page; the watch goes on from there.
+    /// Reads all records, and then what changed while they were read. One call
+    /// that fails is tried again by itself, for the more records there are the
+    /// less likely is a reading without any failure.
     async fn load(&self) -> Result<(), StateError> {
         let mut items = Vec::new();
         let mut since = String::new();
-        let mut revision = None;
+        let mut began = None;
         loop {
             self.requests.take(1.0).await;
-            let page = self.state.list(PREFIX, &since).await?;
-            revision.get_or_insert(page.revision);
+            let page = match self.state.list(PREFIX, &since).await {
+                Ok(page) => page,
+                Err(error) if began.is_none() => return Err(error),
+                Err(error) => {
+                    debug!(%error, "a part of the records can't be read");
+                    self.note_state(Instant::now(), false);
+                    tokio::time::sleep(self.settings.state_timeout() / 4).await;
+                    continue;
+                }
+            };
+            began.get_or_insert(page.revision);
             if let Some(last) = page.items.last() {
                 since.clone_from(&last.key);
             }
@@ -85,12 +116,22 @@
                 break;
             }
         }
-        let changes = lock(&self.picture).replace(items, revision.unwrap_or(0));
+        let began = began.unwrap_or(0);
+        self.requests.take(1.0).await;
+        let changed = self.state.follow(PREFIX, began, Duration::ZERO).await?;
+        let changes = lock(&self.picture).replace(items, began, changed);
         self.dispatch(&changes);
         Ok(())
     }
 }
 
+fn ended(changes: &[Change]) -> impl Iterator<Item = &JobId> {
+    changes.iter().filter_map(|change| match change {
+        Change::Ended(id) => Some(id),
+        _ => None,
+    })
+}
+
 /// Keeps the picture warm.
 pub(super) async fn watch_duty(node: Arc<Node>) {
     let pause = node.settings.state_timeout() / 4;
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -1,13 +1,14 @@
 //! Workers' reports: answered as the leader, or in its stead while nobody can
 //! lead, and the answers to direct orders.
 
-use tokio::time::Instant;
+use tokio::time::{Duration, Instant};
 use tracing::warn;
 
 use super::{Node, ReportReply, Term};
 use crate::{
+    controller::{DirectOutcome, DirectRequest},
     fleet::parse_task,
-    protocol::{DirectOrders, JobState, MachineId, Op, Order, Report, TaskReport, TaskState},
+    protocol::{JobState, Op, Order, Report, TaskReport, TaskState},
     state::lock,
 };
 
@@ -37,6 +38,10 @@
         let held = term.as_mut()?;
         let in_doubt = now.saturating_duration_since(held.renewed) > self.settings.leader_lease();
         let leader = held.leader.as_mut()?;
+        // A leader that stood still, or that others may have replaced, keeps
+        // tasks alive but starts none.
+        leader
+            .allow_starts(!in_doubt && self.knows_cancellations(now, self.settings.leader_lease()));
         let mut away = false;
         if in_doubt {
             // Another leader may be there by now, and a worker that stays
@@ -117,11 +122,22 @@
     /// always may, whatever the settings allow.
     fn knows_enough(&self, now: Instant) -> bool {
         let limit = self.settings.renewal_limit().max(self.settings.leader_lease());
-        let members = self.settings.members.iter().map(|m| m.member.as_str());
-        let known = lock(&self.peers.known_cancellations).of(members);
+        self.knows_cancellations(now, limit)
+    }
+
+    /// Whether all cancellations that users may have been told of are known, but
+    /// for those within the last `limit`.
+    pub(super) fn knows_cancellations(&self, now: Instant, limit: Duration) -> bool {
+        let known = self.cancellations_known_until();
         self.settings.members.is_empty() || known.is_some_and(|at| now < at + limit)
     }
 
+    /// The moment up to which every cancellation that was told is known here.
+    pub(super) fn cancellations_known_until(&self) -> Option<Instant> {
+        let members = self.settings.members.iter().map(|m| m.member.as_str());
+        lock(&self.peers.known_cancellations).of(members)
+    }
+
     fn depose(&self, term: &mut Option<Term>) {
         if let Some(held) = term.take() {
             warn!(token = held.token, "a worker has seen a higher token");
@@ -129,17 +145,16 @@
         }
     }
 
-    /// Takes the answer to direct orders, or that none came.
+    /// Takes what became of direct orders.
     pub(super) fn take_direct(
         &self,
         version: u64,
-        id: &MachineId,
-        orders: &DirectOrders,
-        answer: Option<&Report>,
+        request: &DirectRequest,
+        outcome: DirectOutcome,
     ) {
         let mut term = lock(&self.term);
         let leader = term.as_mut().filter(|t| t.version == version).and_then(|t| t.leader.as_mut());
-        let result = leader.map(|l| l.on_direct(id, orders, answer, Instant::now()));
+        let result = leader.map(|l| l.on_direct(request, outcome, Instant::now()));
         if result.is_some_and(|r| r.is_err()) {
             self.depose(&mut term);
         }
--- a/src/store.rs
+++ b/src/store.rs
@@ -23,7 +23,7 @@
 use crate::{
     dependencies::{DependencyGraph, Effects, Outcome},
     protocol::{
-        Event, Item, JobId, JobSpec, JobState, JobStatus, MachineId, MachineType, is_job_id,
+        Event, Events, Item, JobId, JobSpec, JobState, JobStatus, MachineId, MachineType, is_job_id,
     },
 };
 
@@ -217,17 +217,24 @@
     }
 
     /// Takes a full reading in place of what is held. Returns what changed.
-    pub fn replace(&mut self, items: Vec<Item>, revision: u64) -> Vec<Change> {
+    ///
+    /// A reading takes several requests, and records change meanwhile, so what
+    /// `items` hold is of no single revision: a job's record and its end may both
+    /// be missing. `since` is what changed after the reading began, in order; with
+    /// it the picture is that of one revision.
+    pub fn replace(&mut self, items: Vec<Item>, began: u64, since: Events) -> Vec<Change> {
         let old = std::mem::take(self);
         let mut changes = vec![Change::Lead];
         for item in items {
             changes.extend(self.put(&item.key, item.value, item.version));
         }
+        self.revision = began;
+        changes.extend(self.apply(since.events, since.revision));
+        let revision = self.revision;
         self.keep_later(&old, revision);
         for id in old.jobs.keys().filter(|id| !self.jobs.contains_key(*id)) {
             changes.push(Change::Ended(id.clone()));
         }
-        self.revision = revision;
         self.loaded = true;
         changes
     }
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -4,6 +4,11 @@
     RawValue::from_string(text.into()).expect("json")
 }
 
+/// A reading during which nothing changed.
+fn nothing_since(revision: u64) -> Events {
+    Events { revision, events: Vec::new() }
+}
+
 const SPEC: &str = r#"{"Ref":"j-000001","Grain":"c","Crew":"t","Shape":"batch","Rank":"high","Spokes":2,"Cores":1.0,"Gpus":1.0,"MemoryGb":1.0,"Mould":"i","ImageGb":1.0,"Together":false,"Scatter":false,"Driftwood":false,"ReckonS":1.0,"NotchS":0.0,"StashS":0.0}"#;
 const CANCELLED: &str = r#"{"s":"aborted","d":1}"#;
 
@@ -11,12 +16,12 @@
 fn a_reading_that_began_before_keeps_what_was_noted_since() {
     // What this node committed while the records were read again was told.
     let mut picture = Picture::default();
-    picture.replace(Vec::new(), 10);
+    picture.replace(Vec::new(), 10, nothing_since(10));
     picture.put("sw/j/j-000001", raw(SPEC), 21);
     picture.put("sw/e/j-000002", raw(CANCELLED), 22);
     picture.put("sw/p/j-000001/0", raw(r#"{"a":1}"#), 23);
     picture.put(TOKEN, raw("4"), 24);
-    let changes = picture.replace(Vec::new(), 20);
+    let changes = picture.replace(Vec::new(), 20, nothing_since(20));
     assert_eq!(changes, [Change::Lead], "the accepted job did not end");
     assert!(picture.jobs.contains_key("j-000001"));
     assert_eq!(picture.status("j-000002").map(|s| s.state), Some(JobState::Cancelled));
@@ -24,7 +29,7 @@
     assert_eq!(picture.token, (24, 4));
     assert!(picture.cancelled_since(20, 9).0.iter().any(|(id, ..)| id == "j-000002"));
     // A later reading that lacks them shows that they are gone.
-    let changes = picture.replace(Vec::new(), 30);
+    let changes = picture.replace(Vec::new(), 30, nothing_since(30));
     assert!(changes.contains(&Change::Ended("j-000001".into())));
     assert!(picture.pages.is_empty());
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -401,6 +401,9 @@
 
 const LATENCY: Duration = Duration::from_millis(3);
 
+/// `lease_s` of the settings.
+const WORKER_LEASE: Duration = Duration::from_secs(11);
+
 /// How long a worker waits for the answer to a report.
 const REPORT_PATIENCE: Duration = Duration::from_secs(4);
 
@@ -1208,7 +1211,7 @@
 
 impl Worker {
     fn end_overdue_session(&mut self) {
-        if self.leased.elapsed() > Duration::from_secs(11) {
+        if self.leased.elapsed() > WORKER_LEASE {
             self.tasks.clear();
             self.session += 1;
             self.leased = Instant::now();
@@ -1380,8 +1383,11 @@
     }
 
     fn carry_out(&mut self, name: &MachineId, order: Order) {
+        // A worker gives up its session by itself, also while it stands still: it
+        // may go on within its lease only.
         let running = |id: &MachineId| {
-            let on = self.workers.get(id).and_then(|w| w.tasks.get(&order.task));
+            let worker = self.workers.get(id).filter(|w| w.leased.elapsed() <= WORKER_LEASE);
+            let on = worker.and_then(|w| w.tasks.get(&order.task));
             on.is_some_and(|on| on.state != TaskState::Exited)
         };
         let elsewhere = order.op == Op::Start
--- a/tests/late_orders.rs
+++ b/tests/late_orders.rs
@@ -13,51 +13,43 @@
 };
 use serde_json::json;
 use stonewheel::{
-    controller::Commit,
+    controller::{Commit, DirectOutcome, DirectRequest},
     node::ReportReply,
-    protocol::{
-        Cause, DirectOrders, Item, JobState, MachineId, Op, Order, Report, TaskReport, Write,
-    },
+    protocol::{Cause, Events, Item, JobState, MachineId, Op, Order, Report, TaskReport, Write},
     store,
 };
 use tokio::time::sleep;
 
-/// Direct orders as they leave, with the request's machine.
-type Sent = (MachineId, DirectOrders);
-
-fn send_direct(duty: &mut Duty) -> Vec<Sent> {
-    duty.leader.take_direct(duty.now).into_iter().map(|(id, _, orders)| (id, orders)).collect()
-}
-
-fn send_one(duty: &mut Duty) -> Sent {
-    send_direct(duty).pop().expect("direct orders")
+fn send_one(duty: &mut Duty) -> DirectRequest {
+    duty.leader.take_direct(duty.now).pop().expect("direct orders")
 }
 
 /// The worker answers a request with what it has then.
-fn answer(duty: &mut Duty, sent: &Sent, seq: u64, tasks: &[TaskReport]) {
+fn answer(duty: &mut Duty, sent: &DirectRequest, seq: u64, tasks: &[TaskReport]) {
     let report = Report {
-        machine: sent.0.clone(),
-        addr: sent.0.to_string(),
+        machine: sent.machine.clone(),
+        addr: sent.machine.to_string(),
         machine_type: "g8".into(),
         zone: "a".into(),
         spot: false,
-        session: sent.1.session,
+        session: sent.orders.session,
         seq,
         token: duty.leader.token,
         notice_s: None,
         tasks: tasks.to_vec(),
     };
-    duty.leader.on_direct(&sent.0, &sent.1, Some(&report), duty.now).expect("leads");
-    duty.seqs.insert(sent.0.to_string(), seq);
+    let outcome = DirectOutcome::Answered(&report);
+    duty.leader.on_direct(sent, outcome, duty.now).expect("leads");
+    duty.seqs.insert(sent.machine.to_string(), seq);
 }
 
-fn no_answer(duty: &mut Duty, sent: &Sent) {
-    duty.leader.on_direct(&sent.0, &sent.1, None, duty.now).expect("leads");
+fn no_answer(duty: &mut Duty, sent: &DirectRequest) {
+    duty.leader.on_direct(sent, DirectOutcome::Unknown, duty.now).expect("leads");
 }
 
-fn start_of<'a>(sent: &'a Sent, job: &str) -> &'a Order {
+fn start_of<'a>(sent: &'a DirectRequest, job: &str) -> &'a Order {
     let of_job = |order: &&Order| order.op == Op::Start && order.task.starts_with(job);
-    sent.1.orders.iter().find(of_job).expect("a start of the job")
+    sent.orders.orders.iter().find(of_job).expect("a start of the job")
 }
 
 fn one_task(duty: &mut Duty, id: &str) {
@@ -127,16 +119,16 @@
     }
     duty.submit("j-000001", json!({"Spokes": 3 * calls, "Gpus": 8.0}));
     duty.settle();
-    let first = send_direct(&mut duty);
+    let first = duty.leader.take_direct(duty.now);
     assert_eq!(first.len(), calls, "the others would wait for a socket");
-    assert!(send_direct(&mut duty).is_empty());
+    assert!(duty.leader.take_direct(duty.now).is_empty());
     // Meanwhile the job is cancelled: none of its starts leaves any more.
     duty.cancel("j-000001");
     for sent in &first {
         no_answer(&mut duty, sent);
     }
-    let then: Vec<Sent> = send_direct(&mut duty);
-    let starts = then.iter().flat_map(|sent| ops(&sent.1.orders, Op::Start)).count();
+    let then: Vec<DirectRequest> = duty.leader.take_direct(duty.now);
+    let starts = then.iter().flat_map(|sent| ops(&sent.orders.orders, Op::Start)).count();
     assert_eq!(starts, 0);
 }
 
@@ -153,8 +145,8 @@
     duty.settle();
     let mut reached = std::collections::BTreeSet::new();
     for _ in 0..machines {
-        for sent in send_direct(&mut duty) {
-            reached.insert(sent.0.clone());
+        for sent in duty.leader.take_direct(duty.now) {
+            reached.insert(sent.machine.clone());
             no_answer(&mut duty, &sent);
         }
     }
@@ -270,7 +262,8 @@
         item(store::end_key("j-000001"), cancelled, duty.revision),
         item(store::job_key("j-000003"), spec, version),
     ];
-    let changes = duty.picture.replace(items, duty.revision);
+    let torn = Events { revision: duty.revision, events: Vec::new() };
+    let changes = duty.picture.replace(items, duty.revision, torn);
     duty.leader.on_changes(&changes, &duty.picture, duty.now);
     for commit in duty.commits() {
         let drops = |w: &Write| *w.key() == *store::job_key("j-000003");
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -12,7 +12,7 @@
 };
 use serde_json::json;
 use stonewheel::{
-    controller::{Commit, CommitKind, Leader},
+    controller::{Commit, CommitKind, DirectOutcome, Leader},
     protocol::{Cause, MachineType, Op, Order, Report, TaskReport, TaskState},
     store::{self, Picture},
 };
@@ -303,9 +303,10 @@
     duty.submit("j-000001", json!({"Shape": "service", "Spokes": 1}));
     duty.settle();
     let direct = duty.leader.take_direct(duty.now);
-    let (id, _, orders) = direct.first().expect("a start that doesn't wait for a report").clone();
+    let request = direct.first().expect("a start that doesn't wait for a report").clone();
+    let orders = request.orders.clone();
     assert_eq!(ops(&orders.orders, Op::Start).len(), 1);
-    duty.leader.on_direct(&id, &orders, None, duty.now).expect("leads");
+    duty.leader.on_direct(&request, DirectOutcome::Unknown, duty.now).expect("leads");
     duty.cancel("j-000001");
     // Reports that lack the task prove nothing: the order may still arrive.
     for _ in 0..3 {
@@ -333,8 +334,8 @@
     duty.report("n-1", 1, &[]);
     duty.submit("j-000001", json!({"Shape": "service", "Spokes": 1}));
     duty.settle();
-    let direct = duty.leader.take_direct(duty.now);
-    let (id, _, orders) = direct[0].clone();
+    let request = duty.leader.take_direct(duty.now)[0].clone();
+    let (id, orders) = (request.machine.clone(), request.orders.clone());
     let task = running(&orders.orders[0]);
     let answer = Report {
         machine: id.clone(),
@@ -348,14 +349,14 @@
         notice_s: None,
         tasks: vec![task],
     };
-    duty.leader.on_direct(&id, &orders, Some(&answer), duty.now).expect("leads");
+    duty.leader.on_direct(&request, DirectOutcome::Answered(&answer), duty.now).expect("leads");
     // A report sent before the order was carried out is older by its number.
     assert!(duty.report_at("n-1", 2, 1, &[]).is_empty());
     duty.settle();
     assert_eq!(duty.bound("j-000001").len(), 1);
     // A higher token in the answer ends the leadership.
     let deposed = Report { token: 6, seq: 8, ..answer };
-    assert!(duty.leader.on_direct(&id, &orders, Some(&deposed), duty.now).is_err());
+    assert!(duty.leader.on_direct(&request, DirectOutcome::Answered(&deposed), duty.now).is_err());
 }
 
 #[tokio::test(start_paused = true)]
@@ -430,7 +431,8 @@
     assert_eq!(ops(&duty.report("n-1", 1, &[]), Op::Start).len(), 1);
     duty.submit("j-000002", json!({"Shape": "service", "Spokes": 1}));
     duty.settle();
-    let (id, _, orders) = duty.leader.take_direct(duty.now)[0].clone();
+    let request = duty.leader.take_direct(duty.now)[0].clone();
+    let (id, orders) = (request.machine.clone(), request.orders.clone());
     duty.cancel("j-000001");
     let listed: Vec<_> = ops(&orders.orders, Op::Start)
         .into_iter()
@@ -450,7 +452,7 @@
         notice_s: None,
         tasks: listed.clone(),
     };
-    duty.leader.on_direct(&id, &orders, Some(&answer), duty.now).expect("leads");
+    duty.leader.on_direct(&request, DirectOutcome::Answered(&answer), duty.now).expect("leads");
     duty.settle();
     assert_eq!(duty.bound("j-000001").len(), 1, "it may still start there");
     // The worker's next own report is proof.
--- a/tests/production_size.rs
+++ b/tests/production_size.rs
@@ -20,7 +20,7 @@
     node::UserReply,
     protocol::{JobState, Report},
 };
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 const MACHINES: u32 = 1000;
 const PIPELINES: u32 = 45;
@@ -31,6 +31,9 @@
 /// `cancel_s` of the settings.
 const CANCEL_S: f64 = 36.0;
 
+/// How long users wait for an answer: a controller that ends gives none.
+const USER_PATIENCE: Duration = Duration::from_secs(2);
+
 /// One job of the plan.
 struct Planned {
     id: String,
@@ -101,8 +104,8 @@
     fields["Awaits"] = json!(job.needs);
     loop {
         if let Some(node) = world.running_node(any_node(&mut rng)) {
-            let reply = world.submit(node, &job.id, fields.clone()).await;
-            if state(&reply).is_some() {
+            let reply = timeout(USER_PATIENCE, world.submit(node, &job.id, fields.clone())).await;
+            if reply.is_ok_and(|reply| state(&reply).is_some()) {
                 break;
             }
         }
@@ -112,8 +115,8 @@
     sleep_until(at(cancel_at_s)).await;
     loop {
         if let Some(node) = world.running_node(any_node(&mut rng)) {
-            let reply = world.cancel(node, &job.id).await;
-            if state(&reply).is_some() {
+            let reply = timeout(USER_PATIENCE, world.cancel(node, &job.id)).await;
+            if reply.is_ok_and(|reply| state(&reply).is_some()) {
                 return;
             }
         }
@@ -199,8 +202,9 @@
     let mut left = Vec::new();
     for id in ids {
         let Some(node) = world.running_node(0) else { return ids.to_vec() };
-        let reply = world.ask(node, id).await;
-        if !matches!(state(&reply), Some(JobState::Done | JobState::Cancelled)) {
+        let reply = timeout(USER_PATIENCE, world.ask(node, id)).await;
+        let heard = reply.as_ref().ok().and_then(state);
+        if !matches!(heard, Some(JobState::Done | JobState::Cancelled)) {
             left.push(format!("{id}: {reply:?}"));
         }
     }
@@ -226,8 +230,8 @@
                 continue;
             }
             let Some(node) = world.running_node(1) else { continue };
-            let reply = world.ask(node, id).await;
-            if let Ok(UserReply::Known(status)) = &reply
+            let reply = timeout(USER_PATIENCE, world.ask(node, id)).await;
+            if let Ok(Ok(UserReply::Known(status))) = &reply
                 && status.state != JobState::Cancelled
             {
                 world.note_broken(format!("orphaned: {id} is still {:?}", status.state));
