A picture read again concludes what a watched one does: property test; open starts by attempt

It found nothing; a first form of it differed because its history let a job be done whose dependency was cancelled.

--- a/src/controller/direct_orders.rs
+++ b/src/controller/direct_orders.rs
@@ -8,13 +8,13 @@
 //! attempt of the task is placed on that machine. An answer to another request,
 //! even one that carries the same start, settles nothing of it.
 
-use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque, hash_map::Entry};
 
 use tokio::time::Instant;
 
 use super::{Deposed, Leader};
 use crate::{
-    fleet::{Machine, TaskKey, task_name},
+    fleet::{TaskKey, task_name},
     protocol::{BODY_LIMIT, DirectOrders, MachineId, Op, Order, Report},
 };
 
@@ -34,10 +34,15 @@
 #[derive(Debug, Default)]
 pub struct OpenStarts {
     requests: BTreeMap<u64, Vec<Attempt>>,
+    /// In how many of them each start is.
+    starts: HashMap<Attempt, u32>,
 }
 
 impl OpenStarts {
     fn sent(&mut self, request: u64, starts: Vec<Attempt>) {
+        for start in &starts {
+            *self.starts.entry(start.clone()).or_default() += 1;
+        }
         if !starts.is_empty() {
             self.requests.insert(request, starts);
         }
@@ -45,35 +50,39 @@
 
     /// The request was carried out or refused, or never left.
     fn settled(&mut self, request: u64) {
-        self.requests.remove(&request);
+        for start in self.requests.remove(&request).into_iter().flatten() {
+            if let Entry::Occupied(mut requests) = self.starts.entry(start) {
+                *requests.get_mut() -= 1;
+                if *requests.get() == 0 {
+                    requests.remove();
+                }
+            }
+        }
     }
 
     /// Orders name a session, and are void in the next one.
     pub fn end_session(&mut self) {
         self.requests.clear();
-    }
-
-    fn attempts(&self) -> impl Iterator<Item = &Attempt> {
-        self.requests.values().flatten()
+        self.starts.clear();
     }
 
     /// Whether an attempt may still be started by a request under way.
     pub fn holds(&self, task: &TaskKey, attempt: u64) -> bool {
-        self.attempts().any(|(held, number)| held == task && *number == attempt)
+        !self.starts.is_empty() && self.starts.contains_key(&(task.clone(), attempt))
     }
 
     /// The same for any attempt of a task.
     pub fn holds_task(&self, task: &TaskKey) -> bool {
-        self.attempts().any(|(held, _)| held == task)
+        self.starts.keys().any(|(held, _)| held == task)
     }
 
     /// The same for any task of a job.
     pub fn holds_job(&self, job: &str) -> bool {
-        self.attempts().any(|((held, _), _)| **held == *job)
+        self.starts.keys().any(|((held, _), _)| **held == *job)
     }
 
     fn count(&self) -> usize {
-        self.attempts().collect::<HashSet<_>>().len()
+        self.starts.len()
     }
 }
 
@@ -233,9 +242,4 @@
             DirectOutcome::Answered(_) | DirectOutcome::Unknown => Ok(()),
         }
     }
-
-    /// Whether a machine may still start an attempt that it has been sent.
-    pub(super) fn may_still_start(machine: &Machine, key: &TaskKey, attempt: u64) -> bool {
-        machine.open_starts.holds(key, attempt)
-    }
 }
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -107,7 +107,7 @@
         if binding.session != report.session {
             return;
         }
-        let unsure = direct || Self::may_still_start(machine, key, binding.attempt);
+        let unsure = direct || machine.open_starts.holds(key, binding.attempt);
         match reported.filter(|t| t.attempt == binding.attempt) {
             Some(task) if task.state == TaskState::Exited => {
                 machine.deaf = 0;
@@ -182,7 +182,7 @@
                 let finishing = job.is_some_and(|j| j.remaining() == 0);
                 // While it is listed, a late start order has no effect.
                 let machine = self.fleet.machines.get(&report.machine);
-                let unsure = machine.is_some_and(|m| Self::may_still_start(m, key, task.attempt));
+                let unsure = machine.is_some_and(|m| m.open_starts.holds(key, task.attempt));
                 if !finishing && !unsure && !self.unwritten(key) {
                     orders.push(Order {
                         op: Op::Forget,
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -1,3 +1,5 @@
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
 use super::*;
 
 fn raw(text: &str) -> Box<RawValue> {
@@ -59,3 +61,217 @@
     assert!(picture.put("sw/e/j-000001", raw(CANCELLED), 6).is_empty());
     assert_eq!(picture.status("j-000001").map(|s| s.state), Some(JobState::Done));
 }
+
+/// A history of jobs that depend on each other, their pages and their ends, as
+/// the state service would order it.
+struct History {
+    rng: StdRng,
+    changes: Vec<Event>,
+    jobs: Vec<u32>,
+    needs: HashMap<u32, Vec<u32>>,
+    /// Whether each ended job is done; else it is cancelled.
+    done: HashMap<u32, bool>,
+}
+
+impl History {
+    fn new(seed: u64) -> Self {
+        let rng = StdRng::seed_from_u64(seed);
+        let (jobs, needs) = (Vec::new(), HashMap::new());
+        Self { rng, changes: Vec::new(), jobs, needs, done: HashMap::new() }
+    }
+
+    fn revision(&self) -> u64 {
+        self.changes.last().map_or(0, |change| change.version)
+    }
+
+    fn push(&mut self, key: String, value: Option<&str>, revision: u64) {
+        let put = value.is_some().then(|| key.clone());
+        let delete = value.is_none().then_some(key);
+        let value = value.map(raw);
+        self.changes.push(Event { put, delete, value, version: revision });
+    }
+
+    fn id(number: u32) -> String {
+        // Ids come in no order.
+        format!("j-{:06}", number * 7919 % 100_003)
+    }
+
+    /// One more transaction: a job, its page, its end, or its records dropped.
+    fn step(&mut self) {
+        let next = self.revision() + 1;
+        let number = self.jobs.len() as u32 + 1;
+        let known = |rng: &mut StdRng, jobs: &[u32]| jobs[rng.random_range(0..jobs.len())];
+        match self.rng.random_range(0..10) {
+            0..4 => {
+                let mut needs: Vec<u32> = Vec::new();
+                for _ in 0..self.rng.random_range(0..3) {
+                    if !self.jobs.is_empty() {
+                        needs.push(known(&mut self.rng, &self.jobs));
+                    }
+                }
+                let names: Vec<String> = needs.iter().map(|need| Self::id(*need)).collect();
+                let id = Self::id(number);
+                let rank = ["best_effort", "standard", "high"][self.rng.random_range(0..3)];
+                let spec = SPEC.replace("j-000001", &id).replace("high", rank);
+                let awaits = serde_json::to_string(&names).expect("json");
+                let spec = spec.replacen('{', &format!(r#"{{"Awaits":{awaits},"#), 1);
+                self.push(job_key(&id), Some(&spec), next);
+                self.jobs.push(number);
+                self.needs.insert(number, needs);
+            }
+            4..6 if !self.jobs.is_empty() => {
+                let job = known(&mut self.rng, &self.jobs);
+                if !self.done.contains_key(&job) {
+                    self.push(page_key(&Self::id(job), 0), Some(r#"{"a":1}"#), next);
+                }
+            }
+            6..9 if !self.jobs.is_empty() => {
+                let job = known(&mut self.rng, &self.jobs);
+                if self.done.contains_key(&job) {
+                    return;
+                }
+                // Only what all its dependencies let run can be done.
+                let ready = self.needs[&job].iter().all(|need| self.done.get(need) == Some(&true));
+                let done = ready && self.rng.random_bool(0.8);
+                if !ready && self.rng.random_bool(0.7) {
+                    return;
+                }
+                self.done.insert(job, done);
+                let end = if done { r#"{"s":"done","d":2}"# } else { CANCELLED };
+                self.push(end_key(&Self::id(job)), Some(end), next);
+                if self.rng.random_bool(0.5) {
+                    self.drop_records(job, next);
+                }
+            }
+            9 if !self.jobs.is_empty() => {
+                let job = known(&mut self.rng, &self.jobs);
+                if self.done.contains_key(&job) {
+                    self.drop_records(job, next);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn drop_records(&mut self, job: u32, revision: u64) {
+        self.push(page_key(&Self::id(job), 0), None, revision);
+        self.push(job_key(&Self::id(job)), None, revision);
+    }
+
+    /// The records under a prefix as they were at a revision.
+    fn read(&self, prefix: &str, revision: u64) -> Vec<Item> {
+        let mut records: BTreeMap<String, Item> = BTreeMap::new();
+        for change in self.changes.iter().filter(|change| change.version <= revision) {
+            match (&change.put, &change.value, &change.delete) {
+                (Some(key), Some(value), _) => {
+                    let (value, version) = (value.clone(), change.version);
+                    records.insert(key.clone(), Item { key: key.clone(), value, version });
+                }
+                (_, _, Some(key)) => {
+                    records.remove(key);
+                }
+                _ => {}
+            }
+        }
+        records.into_values().filter(|item| item.key.starts_with(prefix)).collect()
+    }
+
+    fn since(&self, from: u64, to: u64) -> Events {
+        let within = |change: &&Event| change.version > from && change.version <= to;
+        Events { revision: to, events: self.changes.iter().filter(within).cloned().collect() }
+    }
+
+    /// What a picture concludes of each job.
+    fn conclusions(&self, picture: &Picture) -> Vec<String> {
+        let of_job = |number: &u32| {
+            let id = Self::id(*number);
+            let graph = &picture.dependencies;
+            let unfinished = !picture.ends.contains_key(id.as_str());
+            let live = unfinished.then(|| {
+                (graph.waits(&id), graph.is_cancelled(&id), graph.effective_priority(&id))
+            });
+            format!("{id}: {:?}, {live:?}", picture.status(&id))
+        };
+        self.jobs.iter().map(of_job).collect()
+    }
+}
+
+/// What somebody knows who only follows the changes, as a leader does.
+#[derive(Default)]
+struct Follower {
+    waits: HashMap<JobId, bool>,
+    ended: BTreeSet<JobId>,
+}
+
+impl Follower {
+    fn follow(&mut self, changes: &[Change], picture: &Picture) {
+        for change in changes {
+            match change {
+                Change::Arrived(id) | Change::Ready(id) | Change::Reranked(id) => {
+                    let known = self.waits.insert(id.clone(), picture.dependencies.waits(id));
+                    if known.is_some() {
+                        continue;
+                    }
+                    if picture.ends.contains_key(id) || picture.dependencies.is_cancelled(id) {
+                        self.ended.insert(id.clone());
+                    }
+                }
+                Change::Ended(id) => {
+                    self.ended.insert(id.clone());
+                }
+                Change::Lead | Change::ReportsTurnedAway => {}
+            }
+        }
+        for id in picture.jobs.keys() {
+            let graph = &picture.dependencies;
+            let ended = picture.ends.contains_key(id) || graph.is_cancelled(id);
+            assert_eq!(self.ended.contains(id), ended, "{id} ended");
+            assert!(ended || self.waits[id] == graph.waits(id), "{id} waits");
+        }
+    }
+}
+
+#[test]
+fn a_picture_read_again_concludes_what_a_watched_one_does() {
+    for seed in 0..200 {
+        let mut history = History::new(seed);
+        let (mut watched, mut read) = (Picture::default(), Picture::default());
+        let mut follower = Follower::default();
+        let mut at = 0;
+        for _ in 0..25 {
+            let began = history.revision();
+            let mut parts = Vec::new();
+            // Each part is read later than the one before.
+            for prefix in ["sw/e/", "sw/j/", "sw/p/"] {
+                parts.extend(history.read(prefix, history.revision()));
+                for _ in 0..history.rng.random_range(0..4) {
+                    history.step();
+                }
+            }
+            let now = history.revision();
+            if history.rng.random_bool(0.5) {
+                let changes = read.replace(parts, began, history.since(began, now));
+                follower.follow(&changes, &read);
+            } else {
+                // Some own writes are noted before the watch brings them.
+                let noted = history.since(at, now).events;
+                for event in noted.into_iter().filter(|_| history.rng.random_bool(0.3)) {
+                    if let (Some(key), Some(value)) = (event.put, event.value) {
+                        let changes = read.put(&key, value, event.version);
+                        follower.follow(&changes, &read);
+                    } else if let Some(key) = event.delete {
+                        read.delete(&key, event.version);
+                    }
+                }
+                let events = history.since(at, now);
+                let changes = read.apply(events.events, events.revision);
+                follower.follow(&changes, &read);
+            }
+            let events = history.since(at, now);
+            watched.apply(events.events, events.revision);
+            at = now;
+            let expected = history.conclusions(&watched);
+            assert_eq!(history.conclusions(&read), expected, "seed {seed}, revision {now}");
+        }
+    }
+}
