--- a/tests/common/faults.rs
+++ b/tests/common/faults.rs
@@ -7,14 +7,19 @@
 
 /// Which part of the messages of one kind comes late, and by how much.
 #[derive(Debug)]
-struct Delays {
+pub struct Delays {
     rng: StdRng,
     share: f64,
     seconds: std::ops::Range<f64>,
 }
 
 impl Delays {
-    fn draw(&mut self) -> Option<Duration> {
+    pub fn new(seed: u64, share: f64, seconds: std::ops::Range<f64>) -> Self {
+        Self { rng: StdRng::seed_from_u64(seed), share, seconds }
+    }
+
+    /// How late the next message is, if it is.
+    pub fn draw(&mut self) -> Option<Duration> {
         let late = self.rng.random_bool(self.share);
         late.then(|| Duration::from_secs_f64(self.rng.random_range(self.seconds.clone())))
     }
@@ -26,7 +31,7 @@
 
 impl LateCommands {
     pub fn new(seed: u64, share: f64, seconds: std::ops::Range<f64>) -> Self {
-        Self(Delays { rng: StdRng::seed_from_u64(seed), share, seconds })
+        Self(Delays::new(seed, share, seconds))
     }
 
     /// How late the next order is, if it is.
@@ -45,8 +50,7 @@
 
 impl LateTransactions {
     pub fn new(seed: u64, share: f64, at_once: f64) -> Self {
-        let delays = Delays { rng: StdRng::seed_from_u64(seed), share, seconds: 2.0..12.0 };
-        Self { delays, at_once }
+        Self { delays: Delays::new(seed, share, 2.0..12.0), at_once }
     }
 
     /// How late the next transaction is, if it gets no answer. Zero: it is
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -35,7 +35,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use faults::{LateCommands, LateTransactions};
+use faults::{Delays, LateCommands, LateTransactions};
 use invariants::Checker;
 
 pub const SETTINGS: &str = r#"
@@ -164,6 +164,8 @@
     window: Option<usize>,
     /// Readings that a watch could not go on from.
     too_old: u32,
+    /// Which readings of records fail.
+    failing: Option<Delays>,
     /// Which transactions come late, or lose their answer.
     late: Option<LateTransactions>,
     /// Until when these clients' calls wait, since their process stands still.
@@ -300,6 +302,11 @@
         lock(&self.0).too_old
     }
 
+    /// That share of the readings of records fails, drawn from a seed.
+    pub fn set_failing(&self, failing: Option<(u64, f64)>) {
+        lock(&self.0).failing = failing.map(|(seed, share)| Delays::new(seed, share, 0.0..1.0));
+    }
+
     pub fn set_late(&self, late: Option<LateTransactions>) {
         lock(&self.0).late = late;
     }
@@ -415,7 +422,10 @@
         let (prefix, since) = (prefix.to_owned(), since.to_owned());
         Box::pin(async move {
             self.pass_time().await;
-            let store = self.open()?;
+            let mut store = self.open()?;
+            if store.failing.as_mut().and_then(Delays::draw).is_some() {
+                return Err(StateError::Refused(StatusCode::SERVICE_UNAVAILABLE));
+            }
             let mut items: Vec<Item> = store
                 .kv
                 .iter()
--- a/tests/late_orders.rs
+++ b/tests/late_orders.rs
@@ -18,7 +18,7 @@
     protocol::{Cause, Events, Item, JobState, MachineId, Op, Order, Report, TaskReport, Write},
     store,
 };
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 fn send_one(duty: &mut Duty) -> DirectRequest {
     duty.leader.take_direct(duty.now).pop().expect("direct orders")
@@ -108,6 +108,64 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_request_that_never_got_a_connection_leaves_nothing_open() {
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    one_task(&mut duty, "j-000001");
+    let first = send_one(&mut duty);
+    duty.leader.on_direct(&first, DirectOutcome::NotDelivered, duty.now).expect("leads");
+    // The answer to its next report starts it, and then it is cleared.
+    let orders = duty.report("n-1", 1, &[]);
+    let start = ops(&orders, Op::Start)[0].clone();
+    let exit = exited(&start, Cause::Done);
+    duty.report("n-1", 1, std::slice::from_ref(&exit));
+    duty.settle();
+    let orders = duty.report("n-1", 1, std::slice::from_ref(&exit));
+    assert_eq!(ops(&orders, Op::Forget).len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_other_attempt_meets_one_that_may_still_start() {
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    one_task(&mut duty, "j-000001");
+    let first = send_one(&mut duty);
+    no_answer(&mut duty, &first);
+    let start = start_of(&first, "j-000001").clone();
+    // It started after all and lost its work: it has to start again elsewhere.
+    let exit = exited(&start, Cause::Stopped);
+    for _ in 0..20 {
+        let orders = duty.report("n-1", 1, std::slice::from_ref(&exit));
+        assert!(ops(&orders, Op::Start).is_empty() && ops(&orders, Op::Forget).is_empty());
+        duty.settle();
+        assert!(duty.bound("j-000001").is_empty());
+    }
+    duty.report("n-2", 1, &[]);
+    duty.settle();
+    assert_eq!(duty.bound("j-000001"), [(0, "n-2".to_owned())]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn few_exits_stay_listed_however_many_requests_get_no_answer() {
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    let mut sent_directly = std::collections::BTreeSet::new();
+    for number in 1..400 {
+        let id = format!("j-{number:06}");
+        duty.submit(&id, json!({"Spokes": 1, "Gpus": 0.0, "Cores": 0.1, "MemoryGb": 0.1}));
+        duty.settle();
+        for request in duty.leader.take_direct(duty.now) {
+            let starts = ops(&request.orders.orders, Op::Start);
+            sent_directly.extend(starts.into_iter().map(|order| order.task.clone()));
+            no_answer(&mut duty, &request);
+        }
+        duty.report("n-1", 1, &[]);
+    }
+    // A report with all of them listed takes a small part of what it may.
+    assert!((8..=64).contains(&sent_directly.len()), "{}", sent_directly.len());
+}
+
 #[tokio::test(start_paused = true)]
 async fn no_more_orders_are_composed_than_can_leave_at_once() {
     let mut settings = settings("m-0");
@@ -207,6 +265,72 @@
     assert_eq!(duty.leader.take_deletions(), ["n-1".into()] as [MachineId; 1]);
 }
 
+/// After how many seconds the machine with an open start of a cancelled job is
+/// returned, counted from when the leader learned of the cancellation.
+async fn returned_after(confirmed_before_s: u64) -> u64 {
+    let mut duty = Duty::new(5);
+    duty.now += Duration::from_secs(60);
+    duty.report("n-1", 1, &[]);
+    one_task(&mut duty, "j-000001");
+    let sent = send_one(&mut duty);
+    no_answer(&mut duty, &sent);
+    let confirmed = duty.now - Duration::from_secs(confirmed_before_s);
+    duty.cancel("j-000001");
+    duty.leader.confirmed_since("j-000001", confirmed);
+    for after in 1..40 {
+        duty.now += Duration::from_secs(1);
+        duty.report("n-1", 1, &[]);
+        duty.leader.tick(duty.now, false, duty.alone);
+        if !duty.leader.take_deletions().is_empty() {
+            return after;
+        }
+    }
+    panic!("never returned");
+}
+
+#[tokio::test(start_paused = true)]
+async fn machines_go_in_time_after_the_confirmation_however_late_it_is_learned() {
+    assert_eq!(returned_after(0).await, 19);
+    assert_eq!(returned_after(10).await, 9);
+    // There is always some time to stop the task, as long as there is any left.
+    assert_eq!(returned_after(18).await, 6);
+    assert_eq!(returned_after(25).await, 3);
+    assert_eq!(returned_after(40).await, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_new_leader_counts_from_the_confirmation() {
+    // Leaders change again and again; none has half of the limit to itself.
+    let world = World::new(1).await;
+    let machine = world.machines()[0].clone();
+    seconds(5).await;
+    let body = json!({"Shape": "service", "Spokes": 1});
+    assert!(state(&world.submit(0, "j-000001", body).await).is_some());
+    world.until("it runs", || world.starts() == 1).await;
+    seconds(2).await;
+    // The machine hears nobody: the test goes on reporting in its place.
+    let mut report = world.last_report(&machine);
+    world.cut(&machine, &[0, 1, 2]);
+    assert_eq!(state(&world.cancel(0, "j-000001").await), Some(JobState::Cancelled));
+    let told = Instant::now();
+    let mut leader = world.leader().expect("a leader");
+    assert_eq!(report.tasks.len(), 1);
+    while world.machines().contains(&machine) {
+        assert!(told.elapsed() < Duration::from_secs(30), "too late");
+        for _ in 0..8 {
+            seconds(1).await;
+            if let Some(node) = world.leader().and_then(|l| world.running_node(l)) {
+                report.seq += 1;
+                let _ = world.node(node).report(&report);
+            }
+        }
+        world.kill_node(leader);
+        world.until("another leads", || world.leader().is_some_and(|l| l != leader)).await;
+        world.start_node(leader);
+        leader = world.leader().expect("a leader");
+    }
+}
+
 fn deleted_pages(commits: &[Commit]) -> usize {
     let writes = commits.iter().flat_map(|commit| &commit.writes);
     writes.filter(|w| matches!(w, Write::Delete { key } if key.starts_with("sw/p/"))).count()
@@ -301,3 +425,25 @@
     }
     no_rule_broken(&world);
 }
+
+#[tokio::test(start_paused = true)]
+async fn records_are_read_whole_although_parts_of_the_reading_fail() {
+    let world = World::new(1).await;
+    // A few dozen parts, each of which may fail.
+    for number in 0..1500 {
+        let end = store::value(&json!({"s": "done", "d": 1})).expect("json");
+        let key = store::end_key(&format!("j-{number:06}"));
+        world
+            .state
+            .commit(Vec::new(), vec![Write::Put { key, value: end, lease: None }])
+            .expect("written");
+    }
+    let node = (world.leader().expect("a leader") + 1) % 3;
+    world.kill_node(node);
+    world.state.set_failing(Some((7, 0.3)));
+    world.start_node(node);
+    seconds(30).await;
+    world.state.set_failing(None);
+    assert!(world.node(node).healthy(), "it has read the records");
+    assert_eq!(state(&world.ask(node, "j-001499").await), Some(JobState::Done));
+}
