--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -161,6 +161,7 @@
         match node.state.follow(PREFIX, revision, wait).await {
             Ok(events) => {
                 node.take_events(events);
+                lock(&node.peers.known_cancellations).read(asked);
                 tokio::time::sleep(spacing.saturating_sub(asked.elapsed())).await;
             }
             Err(StateError::TooOld) => lock(&node.picture).loaded = false,
