A leader raises a worker's token to void what got no answer

The transaction that takes the leadership takes a range of tokens now. When a direct request with starts gets no answer, the worker's token is raised; once a newer report shows it, requests with lower tokens are void, so what is not in that report will not start. Exits are cleared then, and tasks of cancelled jobs known to be gone.

--- a/src/controller/autoscaler.rs
+++ b/src/controller/autoscaler.rs
@@ -169,7 +169,7 @@
             self.rental_count += 1;
             let rental = Rental {
                 // The token is this leadership's alone, so no name is used twice.
-                request: format!("r-{}-{}", self.token, self.rental_count),
+                request: format!("r-{}-{}", self.tokens.first(), self.rental_count),
                 machine_type: t.name.clone(),
                 zone: zone.clone(),
                 spot,
--- a/src/controller/direct_orders.rs
+++ b/src/controller/direct_orders.rs
@@ -3,10 +3,14 @@
 //! A request without an answer may still be carried out for as long as token and
 //! session match, and a worker that has cleared an attempt starts it again. So
 //! this module owns one invariant: **a start that was sent directly stays open
-//! until its own request is answered or the worker's session ends.** While it is
-//! open, the task's absence proves nothing, its exit is not cleared, and no other
-//! attempt of the task is placed on that machine. An answer to another request,
-//! even one that carries the same start, settles nothing of it.
+//! until its own request is answered, the worker shows a higher token than the
+//! request has, or the worker's session ends.** While it is open, the task's absence
+//! proves nothing, its exit is not cleared, and no other attempt of the task is
+//! placed on that machine. An answer to another request, even one that carries the
+//! same start, settles nothing of it.
+//!
+//! When no answer comes, the worker's token is raised (`fencing.rs`): it learns of
+//! that with the next answer or order, and its report after that settles all.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque, hash_map::Entry};
 
@@ -22,35 +26,43 @@
 const REPORTED_TASK_BYTES: usize = 128;
 
 /// A machine with this many open starts gets further ones only with the answers
-/// to its reports: their exits stay listed until its session ends, and may take
-/// up a small part of a report only.
+/// to its reports: exits stay listed while starts are open, and may take up a small
+/// part of a report only.
 const MOST_OPEN_STARTS: usize = BODY_LIMIT / REPORTED_TASK_BYTES / 16;
 
 /// One attempt to run a task.
 pub type Attempt = (TaskKey, u64);
 
+/// The starts of one request, and the token that it was sent with.
+#[derive(Debug)]
+struct SentStarts {
+    token: u64,
+    starts: Vec<Attempt>,
+}
+
 /// Requests with starts that no answer has come for, of a worker's present
 /// session.
 #[derive(Debug, Default)]
 pub struct OpenStarts {
-    requests: BTreeMap<u64, Vec<Attempt>>,
+    requests: BTreeMap<u64, SentStarts>,
     /// In how many of them each start is.
     starts: HashMap<Attempt, u32>,
 }
 
 impl OpenStarts {
-    fn sent(&mut self, request: u64, starts: Vec<Attempt>) {
+    fn sent(&mut self, request: u64, token: u64, starts: Vec<Attempt>) {
         for start in &starts {
             *self.starts.entry(start.clone()).or_default() += 1;
         }
         if !starts.is_empty() {
-            self.requests.insert(request, starts);
+            self.requests.insert(request, SentStarts { token, starts });
         }
     }
 
     /// The request was carried out or refused, or never left.
     fn settled(&mut self, request: u64) {
-        for start in self.requests.remove(&request).into_iter().flatten() {
+        let starts = self.requests.remove(&request).map(|sent| sent.starts);
+        for start in starts.into_iter().flatten() {
             if let Entry::Occupied(mut requests) = self.starts.entry(start) {
                 *requests.get_mut() -= 1;
                 if *requests.get() == 0 {
@@ -60,6 +72,19 @@
         }
     }
 
+    /// The worker has seen this token, and takes no orders with a lower one.
+    pub fn fence(&mut self, token: u64) {
+        let lower = self.requests.iter().filter(|(_, sent)| sent.token < token);
+        let void: Vec<u64> = lower.map(|(request, _)| *request).collect();
+        for request in void {
+            self.settled(request);
+        }
+    }
+
+    fn is_open(&self, request: u64) -> bool {
+        self.requests.contains_key(&request)
+    }
+
     /// Orders name a session, and are void in the next one.
     pub fn end_session(&mut self) {
         self.requests.clear();
@@ -133,6 +158,12 @@
 }
 
 impl Leader {
+    /// The token that orders to a worker carry.
+    pub fn token_for(&self, machine: &str) -> u64 {
+        let raised = self.fleet.machines.get(machine).map_or(0, |m| m.token);
+        raised.max(self.tokens.first())
+    }
+
     /// Composes orders for as many machines as there are free calls, so that none
     /// waits for a socket after it was decided.
     pub fn take_direct(&mut self, now: Instant) -> Vec<DirectRequest> {
@@ -186,11 +217,12 @@
         self.requests_sent += 1;
         let request = self.requests_sent;
         self.calls.insert(request);
+        let token = self.token_for(id);
         let machine = self.fleet.machines.get_mut(id)?;
         machine.commands_in_flight = true;
-        machine.open_starts.sent(request, starts);
+        machine.open_starts.sent(request, token, starts);
         let addr = machine.addr.clone();
-        let orders = DirectOrders { token: self.token, session, orders };
+        let orders = DirectOrders { token, session, orders };
         Some(DirectRequest { id: request, machine: id.clone(), addr, orders })
     }
 
@@ -239,7 +271,12 @@
                 machine.open_starts.settled(request.id);
                 Ok(())
             }
-            DirectOutcome::Answered(_) | DirectOutcome::Unknown => Ok(()),
+            DirectOutcome::Answered(_) | DirectOutcome::Unknown => {
+                if machine.open_starts.is_open(request.id) {
+                    machine.token = machine.token.max(self.tokens.above(request.orders.token));
+                }
+                Ok(())
+            }
         }
     }
 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -33,6 +33,7 @@
 pub use writes::{Commit, CommitKind};
 
 use crate::{
+    fencing::TermTokens,
     fleet::{Fleet, Machine, TaskKey},
     protocol::{JobId, JobSpec, MachineId, MachineType, Rental, Shape},
     scheduler::TeamUse,
@@ -63,7 +64,7 @@
 
 pub struct Leader {
     settings: Arc<Settings>,
-    pub token: u64,
+    pub tokens: TermTokens,
     pub lead_version: u64,
     types: Arc<Vec<MachineType>>,
     types_stored: bool,
@@ -115,13 +116,13 @@
     pub fn new(
         settings: Arc<Settings>,
         lead_version: u64,
-        token: u64,
+        tokens: TermTokens,
         picture: &Picture,
         now: Instant,
     ) -> Self {
         let mut leader = Self {
             settings,
-            token,
+            tokens,
             lead_version,
             types: Arc::default(),
             types_stored: true,
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -46,12 +46,12 @@
         direct: bool,
         now: Instant,
     ) -> Result<Vec<Order>, Deposed> {
-        if report.token > self.token {
+        if report.token > self.tokens.last() {
             return Err(Deposed);
         }
         let was_ready = self.is_ready(&report.machine, now);
         let lease = self.settings.worker_lease();
-        match self.fleet.note_report(report, self.token, lease, now) {
+        match self.fleet.note_report(report, self.tokens, lease, now) {
             Freshness::Stale => return Ok(Vec::new()),
             Freshness::NewSession => self.lose_sessions(&report.machine, report.session, now),
             Freshness::Newer => {}
--- a/src/election.rs
+++ b/src/election.rs
@@ -1,7 +1,7 @@
 //! Who leads: a key attached to a state lease, and a counter that never is.
 //!
 //! One transaction conditioned on both takes the key and raises the counter,
-//! which is the fencing token. All writes of that leader are conditioned on
+//! whose range of fencing tokens is the term's (`fencing.rs`). All writes of that leader are conditioned on
 //! the key's revision, so what a deposed leader left under way fails.
 
 use std::sync::Arc;
@@ -11,6 +11,7 @@
 use tracing::{info, warn};
 
 use crate::{
+    fencing::TermTokens,
     node::Node,
     protocol::{Condition, Transaction, Write},
     state::{StateError, lock},
@@ -70,10 +71,15 @@
         Ok(lease) => lease,
         Err(_) => return tokio::time::sleep(ttl / 8).await,
     };
-    let token = token + 1;
-    let lead =
-        Lead { member: node.settings.member.clone(), incarnation: node.incarnation, token, lease };
-    let (Ok(lead_value), Ok(token_value)) = (store::value(&lead), store::value(&token)) else {
+    let tokens = TermTokens::starting_at(token.saturating_add(1));
+    let lead = Lead {
+        member: node.settings.member.clone(),
+        incarnation: node.incarnation,
+        token: tokens.first(),
+        lease,
+    };
+    let (Ok(lead_value), Ok(token_value)) = (store::value(&lead), store::value(&tokens.last()))
+    else {
         return;
     };
     let txn = Transaction {
@@ -106,7 +112,7 @@
     info!(token = lead.token, "elected");
     // The renewal that brought the key counts from before it was asked for,
     // which is unknown here; the first renewal follows at once.
-    node.begin_term(version, lead.token);
+    node.begin_term(version, TermTokens::starting_at(lead.token));
     let stop = CancellationToken::new();
     let duty = tokio::spawn(crate::node::lead_duty(node.clone(), version, stop.clone()));
     let mut deserted = false;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     controller::OpenStarts,
+    fencing::TermTokens,
     http::client::{CallError, HttpClient},
     protocol::{DirectOrders, JobId, ListedMachine, MachineId, MachineState, Report},
     scheduler::Resources,
@@ -94,8 +95,10 @@
     pub since: Instant,
     /// Latest message seen: (session, sequence).
     pub seen: (u64, u64),
-    /// The worker has been seen at the leader's token in this session.
+    /// The worker has been seen at a token of this term.
     pub mine: bool,
+    /// The highest token that the leader gave this worker, or saw there.
+    pub token: u64,
     /// When the leader last answered a report of this worker, or it a direct
     /// order.
     pub answered: Option<Instant>,
@@ -139,6 +142,7 @@
             since: now,
             seen: (0, 0),
             mine: false,
+            token: 0,
             answered: None,
             reported: None,
             sent_away: None,
@@ -237,7 +241,7 @@
     pub fn note_report(
         &mut self,
         report: &Report,
-        token: u64,
+        tokens: TermTokens,
         lease: Duration,
         now: Instant,
     ) -> Freshness {
@@ -270,7 +274,11 @@
         }
         machine.seen = seen;
         machine.answered = Some(now);
-        machine.mine = report.token == token;
+        machine.mine = tokens.contains(report.token);
+        // Requests with lower tokens are void from here on: either this report
+        // shows what they did, or they do nothing any more.
+        machine.open_starts.fence(report.token);
+        machine.token = machine.token.max(report.token);
         machine.addr.clone_from(&report.addr);
         machine.notice_until = report
             .notice_s
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod controller;
 pub mod dependencies;
 pub mod election;
+pub mod fencing;
 pub mod fleet;
 pub mod http;
 pub mod lease_renewal;
--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -39,11 +39,11 @@
         let mut term = lock(&node.term);
         let Some(held) = term.as_mut().filter(|t| t.version == version) else { return };
         let now = Instant::now();
-        let mut leader = Leader::new(node.settings.clone(), version, held.token, &picture, now);
+        let mut leader = Leader::new(node.settings.clone(), version, held.tokens, &picture, now);
         for (id, at) in lock(&node.confirmed_since).iter() {
             leader.confirmed_since(id, *at);
         }
-        info!(token = held.token, "{}", leader.summary(Instant::now()));
+        info!(token = held.tokens.first(), "{}", leader.summary(Instant::now()));
         held.leader = Some(leader);
     }
     work.spawn(until(stop.clone(), cloud_duty(node.clone(), version)));
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -74,7 +74,7 @@
 
     pub fn on_heartbeat(&self, heartbeat: Heartbeat) {
         let mut term = lock(&self.term);
-        if term.as_ref().is_some_and(|t| t.token < heartbeat.token) {
+        if term.as_ref().is_some_and(|t| t.tokens.last() < heartbeat.token) {
             warn!(member = %heartbeat.member, token = heartbeat.token, "another controller leads");
             *term = None;
             self.lead_changed.notify_one();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -30,6 +30,7 @@
     cloud::CloudApi,
     controller::Leader,
     election,
+    fencing::TermTokens,
     fleet::WorkerApi,
     http, peers,
     peers::Peers,
@@ -71,7 +72,7 @@
 /// The leader's part of a node, while it leads.
 struct Term {
     version: u64,
-    token: u64,
+    tokens: TermTokens,
     /// When the last successful renewal was asked for.
     renewed: Instant,
     /// Built once the picture is as new as the leadership.
@@ -214,11 +215,11 @@
         lead.member == self.settings.member && lead.incarnation == self.incarnation
     }
 
-    pub fn begin_term(&self, version: u64, token: u64) {
+    pub fn begin_term(&self, version: u64, tokens: TermTokens) {
         lock(&self.peers.promises).begin_term();
         *lock(&self.term) = Some(Term {
             version,
-            token,
+            tokens,
             renewed: Instant::now(),
             leader: None,
             probed: HashMap::new(),
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -65,8 +65,9 @@
         let heard = if away {
             leader.send_away(report, now).map(|()| ReportReply::Elsewhere(None))
         } else {
-            let token = held.token;
-            leader.on_report(report, now).map(|orders| ReportReply::Orders { token, orders })
+            let answered = leader.on_report(report, now);
+            let token = leader.token_for(&report.machine);
+            answered.map(|orders| ReportReply::Orders { token, orders })
         };
         Some(heard.unwrap_or_else(|_| {
             self.depose(&mut term);
@@ -140,7 +141,7 @@
 
     fn depose(&self, term: &mut Option<Term>) {
         if let Some(held) = term.take() {
-            warn!(token = held.token, "a worker has seen a higher token");
+            warn!(token = held.tokens.first(), "a worker has seen a higher token");
             self.lead_changed.notify_one();
         }
     }
--- a/tests/common/duty.rs
+++ b/tests/common/duty.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 use stonewheel::{
     controller::{Commit, Leader},
+    fencing::TermTokens,
     protocol::{Cause, JobSpec, Op, Order, Report, TaskReport, TaskState, Write},
     settings::{Objective, Settings},
     store::{self, Change, Page, Picture},
@@ -27,20 +28,20 @@
 
 impl Duty {
     pub fn new(token: u64) -> Self {
-        Self::with(settings("m-0"), token)
+        Self::with(settings("m-0"), TermTokens::only(token))
     }
 
-    pub fn with(mut settings: Settings, token: u64) -> Self {
+    pub fn with(mut settings: Settings, tokens: TermTokens) -> Self {
         let mut picture = Picture { loaded: true, ..Picture::default() };
         picture.types = Some((1, Arc::new(vec![machine_type()])));
         // Returning idle machines is no part of these stories.
         settings.operator.idle_boots = 1e3;
-        Self::over(settings, picture, token)
+        Self::over(settings, picture, tokens)
     }
 
-    pub fn over(settings: Settings, picture: Picture, token: u64) -> Self {
+    pub fn over(settings: Settings, picture: Picture, tokens: TermTokens) -> Self {
         let now = Instant::now();
-        let leader = Leader::new(Arc::new(settings.clone()), 1, token, &picture, now);
+        let leader = Leader::new(Arc::new(settings.clone()), 1, tokens, &picture, now);
         Self {
             settings,
             picture,
@@ -57,7 +58,7 @@
         Self {
             seqs: self.seqs,
             revision: self.revision,
-            ..Self::over(self.settings, self.picture, token)
+            ..Self::over(self.settings, self.picture, TermTokens::only(token))
         }
     }
 
@@ -69,7 +70,8 @@
             class: Some("train".into()),
             within_s: Some(within_s),
         });
-        self.leader = Leader::new(Arc::new(settings), 1, 5, &self.picture, self.now);
+        self.leader =
+            Leader::new(Arc::new(settings), 1, TermTokens::only(5), &self.picture, self.now);
     }
 
     pub fn submit(&mut self, id: &str, changes: serde_json::Value) {
@@ -132,7 +134,7 @@
         session: u64,
         tasks: &[TaskReport],
     ) -> Vec<Order> {
-        self.report_showing(self.leader.token, machine, seq, session, tasks)
+        self.report_showing(self.leader.token_for(machine), machine, seq, session, tasks)
     }
 
     /// A report of a worker whose highest token is `token`.
--- a/tests/late_orders.rs
+++ b/tests/late_orders.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 use stonewheel::{
     controller::{Commit, DirectOutcome, DirectRequest},
+    fencing::TermTokens,
     node::ReportReply,
     protocol::{Cause, Events, Item, JobState, MachineId, Op, Order, Report, TaskReport, Write},
     store,
@@ -34,7 +35,7 @@
         spot: false,
         session: sent.orders.session,
         seq,
-        token: duty.leader.token,
+        token: duty.leader.token_for(&sent.machine),
         notice_s: None,
         tasks: tasks.to_vec(),
     };
@@ -125,6 +126,58 @@
     assert_eq!(ops(&orders, Op::Forget).len(), 1);
 }
 
+/// A leader that can raise a worker's token.
+fn with_many_tokens() -> Duty {
+    Duty::with(settings("m-0"), TermTokens::starting_at(5))
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_higher_token_voids_what_got_no_answer() {
+    let mut duty = with_many_tokens();
+    duty.report("n-1", 1, &[]);
+    one_task(&mut duty, "j-000001");
+    let first = send_one(&mut duty);
+    no_answer(&mut duty, &first);
+    assert!(duty.leader.token_for("n-1") > first.orders.token);
+    duty.cancel("j-000001");
+    // The worker has not heard of the token yet: the start may still arrive.
+    assert!(duty.report_showing(first.orders.token, "n-1", 10, 1, &[]).is_empty());
+    duty.settle();
+    assert_eq!(duty.bound("j-000001").len(), 1);
+    // Now it has, and refuses the start: the task is gone and so is the job.
+    let token = duty.leader.token_for("n-1");
+    duty.report_showing(token, "n-1", 11, 1, &[]);
+    duty.settle();
+    assert!(duty.bound("j-000001").is_empty());
+    assert!(!duty.picture.jobs.contains_key("j-000001"));
+    // Each machine has its own: others keep theirs.
+    assert_eq!(duty.leader.token_for("n-2"), 5);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_exit_is_cleared_once_a_higher_token_is_seen() {
+    let mut duty = with_many_tokens();
+    let start = start_sent_twice(&mut duty);
+    let exit = exited(&start, Cause::Done);
+    // The second request showed the higher token: the first one is void.
+    duty.report("n-1", 1, std::slice::from_ref(&exit));
+    duty.settle();
+    let orders = duty.report("n-1", 1, std::slice::from_ref(&exit));
+    assert_eq!(ops(&orders, Op::Forget).len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn tokens_of_one_term_never_reach_the_next() {
+    let world = World::new(1).await;
+    let old = world.leader().expect("a leader");
+    let first: u64 = world.state.value("sw/token").and_then(|t| t.parse().ok()).expect("a token");
+    world.kill_node(old);
+    world.until("another leads", || world.leader().is_some_and(|l| l != old)).await;
+    let lead: serde_json::Value =
+        serde_json::from_str(&world.state.value("sw/lead").expect("a leader")).expect("json");
+    assert_eq!(lead["token"].as_u64(), Some(first + 1));
+}
+
 #[tokio::test(start_paused = true)]
 async fn no_other_attempt_meets_one_that_may_still_start() {
     let mut duty = Duty::new(5);
@@ -171,7 +224,7 @@
     let mut settings = settings("m-0");
     settings.cluster.quota.fd_limit = 64;
     let calls = settings.direct_calls();
-    let mut duty = Duty::with(settings, 5);
+    let mut duty = Duty::with(settings, TermTokens::only(5));
     for machine in 0..3 * calls {
         duty.report(&format!("n-{machine:03}"), 1, &[]);
     }
@@ -194,15 +247,21 @@
 async fn every_machine_gets_its_turn_when_calls_are_few() {
     let mut settings = settings("m-0");
     settings.cluster.quota.fd_limit = 64;
-    let mut duty = Duty::with(settings, 5);
-    let machines = 12;
+    let calls = settings.direct_calls();
+    let mut duty = Duty::with(settings, TermTokens::only(5));
+    let machines = 3 * calls;
     for machine in 0..machines {
         duty.report(&format!("n-{machine:03}"), 1, &[]);
     }
     duty.submit("j-000001", json!({"Spokes": machines, "Gpus": 8.0}));
     duty.settle();
+    // All of them are silent and have a cancelled task, so each is told to stop
+    // it again and again.
+    duty.cancel("j-000001");
+    duty.now += Duration::from_secs(4);
     let mut reached = std::collections::BTreeSet::new();
-    for _ in 0..machines {
+    for _ in 0..3 {
+        duty.pass(0.2);
         for sent in duty.leader.take_direct(duty.now) {
             reached.insert(sent.machine.clone());
             no_answer(&mut duty, &sent);
@@ -211,6 +270,18 @@
     assert_eq!(reached.len(), machines);
 }
 
+#[tokio::test(start_paused = true)]
+async fn nothing_is_started_directly_while_starts_are_withheld() {
+    let mut duty = Duty::new(5);
+    duty.report("n-1", 1, &[]);
+    duty.leader.allow_starts(false);
+    one_task(&mut duty, "j-000001");
+    assert!(duty.leader.take_direct(duty.now).is_empty());
+    assert!(duty.report("n-1", 1, &[]).is_empty());
+    duty.leader.allow_starts(true);
+    assert_eq!(ops(&duty.report("n-1", 1, &[]), Op::Start).len(), 1);
+}
+
 /// The starts in a controller's answer to the next report of a machine.
 fn starts_in_answer(world: &World, node: usize, report: &mut Report) -> usize {
     report.seq += 1;
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -13,6 +13,7 @@
 use serde_json::json;
 use stonewheel::{
     controller::{Commit, CommitKind, DirectOutcome, Leader},
+    fencing::TermTokens,
     protocol::{Cause, MachineType, Op, Order, Report, TaskReport, TaskState},
     store::{self, Picture},
 };
@@ -672,7 +673,8 @@
 async fn machines_that_idled_through_an_outage_take_the_work_that_waited() {
     // They were returned in the first second after it, and others rented.
     let mut duty = Duty::new(5);
-    duty.leader = Leader::new(Arc::new(settings("m-0")), 1, 5, &duty.picture, duty.now);
+    duty.leader =
+        Leader::new(Arc::new(settings("m-0")), 1, TermTokens::only(5), &duty.picture, duty.now);
     for machine in ["n-1", "n-2"] {
         duty.report(machine, 1, &[]);
     }
@@ -700,7 +702,8 @@
     let mut duty = Duty::new(5);
     let quick = MachineType { boot_s: 1.0, ..machine_type() };
     duty.picture.types = Some((1, Arc::new(vec![quick])));
-    duty.leader = Leader::new(Arc::new(settings("m-0")), 1, 5, &duty.picture, duty.now);
+    duty.leader =
+        Leader::new(Arc::new(settings("m-0")), 1, TermTokens::only(5), &duty.picture, duty.now);
     let report = |duty: &mut Duty, seq, token| duty.report_showing(token, "n-1", seq, 1, &[]);
     report(&mut duty, 1, 0);
     duty.submit("j-000001", json!({"Spokes": 1}));
@@ -767,7 +770,7 @@
 
 /// Machines with room for many tasks of the kind `tiny`.
 fn many_tiny_tasks() -> Duty {
-    let mut duty = Duty::with(settings_with_coming_limits("m-0"), 5);
+    let mut duty = Duty::with(settings_with_coming_limits("m-0"), TermTokens::only(5));
     for machine in 0..4 {
         duty.report(&format!("n-00000{machine}"), 1, &[]);
     }
@@ -816,7 +819,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_page_too_large_for_the_coming_limit_is_written_once_some_tasks_have_left_it() {
-    let mut before = Duty::with(settings_with_coming_limits("m-0"), 4);
+    let mut before = Duty::with(settings_with_coming_limits("m-0"), TermTokens::only(4));
     before.submit("j-000001", tiny(120, "batch"));
     page_of_the_version_before(&mut before, "j-000001", 120);
     let mut duty = before.succeed(5);
