Cancellations in a module of their own; stricter tests of raised tokens; comments mended

- controller/cancellations.rs takes what sees to it that cancelled tasks go in time, out of mod.rs and job.rs, as it was.
Comments that a rename had garbled read again.
The workers' report of the tests stands once.

--- a/src/controller/job.rs
+++ b/src/controller/job.rs
@@ -6,8 +6,9 @@
     sync::Arc,
 };
 
-use tokio::time::{Duration, Instant};
+use tokio::time::Instant;
 
+use super::cancellations::Ended;
 use crate::{
     protocol::{JobSpec, MachineId, Priority, Shape},
     store::BoundTask,
@@ -50,30 +51,6 @@
     pub(super) grace_s: f64,
 }
 
-/// When a job ended, as far as this controller knows.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Ended {
-    /// When this leader learned of it.
-    pub(super) learned: Instant,
-    /// The earliest time at which its user may have been told.
-    pub(super) confirmed: Instant,
-}
-
-impl Ended {
-    pub(super) fn learned(now: Instant) -> Self {
-        Self { learned: now, confirmed: now }
-    }
-
-    /// When machines that still hold its tasks are returned. All of them must be
-    /// gone `limit` after the confirmation. Half of that is left for stopping
-    /// them; what was learned late gets half a lease, but not beyond three
-    /// quarters of the limit.
-    pub(super) fn machines_go_at(&self, limit: Duration, lease: Duration) -> Instant {
-        let late = (self.learned + lease / 2).min(self.confirmed + limit * 3 / 4);
-        late.max(self.confirmed + limit / 2)
-    }
-}
-
 /// A job that the leader knows, until its records are gone.
 pub(super) struct Job {
     pub(super) spec: Arc<JobSpec>,
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -7,11 +7,12 @@
 //! the worker.
 //!
 //! `reports` reviews what workers say, `direct_orders` sends orders to their own
-//! addresses, `planner` makes scheduling passes,
+//! addresses, `cancellations` sees to it that cancelled tasks go in time, `planner` makes scheduling passes,
 //! `writes` and `pages` make them durable, `autoscaler` rents and returns
 //! machines, `job` holds one job; here is what they share, and the time.
 
 mod autoscaler;
+mod cancellations;
 mod direct_orders;
 mod job;
 mod pages;
@@ -27,9 +28,10 @@
 use tokio::time::{Duration, Instant};
 use tracing::{info, warn};
 
+use cancellations::Ended;
 use direct_orders::CommandQueue;
 pub use direct_orders::{DirectOutcome, DirectRequest, OpenStarts};
-use job::{Binding, Ended, Job, Stop};
+use job::{Binding, Job, Stop};
 pub use writes::{Commit, CommitKind};
 
 use crate::{
@@ -403,45 +405,6 @@
         }
     }
 
-    /// Cancelled tasks on machines that don't report are told to stop directly,
-    /// again and again: their answers carry no order.
-    fn stop_cancelled_directly(&mut self, now: Instant) {
-        let silent = self.settings.report() * 2;
-        for job in self.jobs.values().filter(|j| j.ended.is_some()) {
-            for binding in job.bound.values() {
-                let machine = self.fleet.machines.get(&binding.machine);
-                let away = |m: &Machine| m.reported.is_none_or(|at| now > at + silent);
-                if machine.is_some_and(|m| away(m) && !m.addr.is_empty() && !m.commands_in_flight) {
-                    self.needs_command.push(binding.machine.clone());
-                }
-            }
-        }
-    }
-
-    /// A cancelled job's tasks must be gone in time, even from a machine that
-    /// can't be reached, or that may still start one: then the machine itself
-    /// goes. While the service is paused, a silent machine's lease runs out by
-    /// itself, or whoever renews it knows of the cancellation in time; those that
-    /// this controller keeps alive have to be returned then too.
-    fn delete_machines_with_cancelled_tasks(&mut self, now: Instant, paused: bool) {
-        let limit = Duration::from_secs_f64(self.settings.cluster.workers.cancel_s);
-        let lease = self.settings.worker_lease();
-        let kept_alive = |id: &MachineId| {
-            let machine = self.fleet.machines.get(id);
-            machine.and_then(|m| m.reported).is_some_and(|at| now < at + lease)
-        };
-        let mut late = Vec::new();
-        for job in self.jobs.values() {
-            if job.ended.is_some_and(|ended| now > ended.machines_go_at(limit, lease)) {
-                let machines = job.bound.values().map(|binding| &binding.machine);
-                late.extend(machines.filter(|id| !paused || kept_alive(id)).cloned());
-            }
-        }
-        for id in late {
-            self.delete(&id, "a cancelled task can't be stopped", now);
-        }
-    }
-
     /// Whether work may be started from now on: not while the leadership is in
     /// doubt or cancellations may be unknown. Renewing a worker's lease needs
     /// less, since the lease bounds what it keeps alive.
@@ -449,14 +412,7 @@
         self.starts_allowed = allowed;
     }
 
-    /// A job's end was confirmed to its user no earlier than this.
-    pub fn confirmed_since(&mut self, id: &str, at: Instant) {
-        if let Some(ended) = self.jobs.get_mut(id).and_then(|job| job.ended.as_mut()) {
-            ended.confirmed = ended.confirmed.min(at);
-        }
-    }
-
-    /// Whether there are more machines than connections to hear them by. CancellationNotice
+    /// Whether there are more machines than connections to hear them by. Told
     /// once a term.
     pub fn outnumbered(&mut self) -> bool {
         let more = self.fleet.machines.len() > self.settings.public_sockets();
--- a/src/controller/reports.rs
+++ b/src/controller/reports.rs
@@ -107,7 +107,7 @@
         if binding.session != report.session {
             return;
         }
-        let unsure = direct || machine.open_starts.holds(key, binding.attempt);
+        let may_still_start = direct || machine.open_starts.holds(key, binding.attempt);
         match reported.filter(|t| t.attempt == binding.attempt) {
             Some(task) if task.state == TaskState::Exited => {
                 machine.deaf = 0;
@@ -138,9 +138,11 @@
             // Orders in answers are never carried out late, so a newer report
             // at this token that lacks the task is proof, unless a direct
             // order may still start it.
-            None if mine && !unsure && (ended || binding.stop.is_some()) => self.gone(key, now),
-            None if mine && !unsure && binding.sent >= 2 => {
-                // CancellationNotice twice and still not there: the answers don't arrive.
+            None if mine && !may_still_start && (ended || binding.stop.is_some()) => {
+                self.gone(key, now)
+            }
+            None if mine && !may_still_start && binding.sent >= 2 => {
+                // Told twice and still not there: the answers don't arrive.
                 machine.deaf += 1;
                 machine.shunned_until = Some(now + self.settings.worker_lease());
                 info!(machine = %report.machine, task = ?key, "the machine does not carry out orders");
@@ -182,8 +184,9 @@
                 let finishing = job.is_some_and(|j| j.remaining() == 0);
                 // While it is listed, a late start order has no effect.
                 let machine = self.fleet.machines.get(&report.machine);
-                let unsure = machine.is_some_and(|m| m.open_starts.holds(key, task.attempt));
-                if !finishing && !unsure && !self.unwritten(key) {
+                let may_still_start =
+                    machine.is_some_and(|m| m.open_starts.holds(key, task.attempt));
+                if !finishing && !may_still_start && !self.unwritten(key) {
                     orders.push(Order {
                         op: Op::Forget,
                         task: task.task.clone(),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -92,7 +92,7 @@
     pub admission: Arc<AdmissionLimit>,
     pub picture: Mutex<Picture>,
     pub peers: Peers,
-    /// CancellationNotice whenever the leadership key or this node's term may have changed.
+    /// Notified whenever the leadership key or this node's term may have changed.
     pub lead_changed: Notify,
     /// Drawn at each start, so that a node knows its former self from itself.
     pub incarnation: u64,
--- a/tests/common/duty.rs
+++ b/tests/common/duty.rs
@@ -146,19 +146,7 @@
         session: u64,
         tasks: &[TaskReport],
     ) -> Vec<Order> {
-        let zone = if machine.starts_with("b-") { "b" } else { "a" };
-        let report = Report {
-            machine: machine.into(),
-            addr: machine.into(),
-            machine_type: "g8".into(),
-            zone: zone.into(),
-            spot: false,
-            session,
-            seq,
-            token,
-            notice_s: None,
-            tasks: tasks.to_vec(),
-        };
+        let report = report_of(machine, session, seq, token, tasks);
         self.leader.on_report(&report, self.now).expect("no higher token")
     }
 
@@ -184,6 +172,30 @@
     }
 }
 
+/// What a worker of the usual kind reports; its name begins with its zone if that
+/// is the second one.
+pub fn report_of(
+    machine: &str,
+    session: u64,
+    seq: u64,
+    token: u64,
+    tasks: &[TaskReport],
+) -> Report {
+    let zone = if machine.starts_with("b-") { "b" } else { "a" };
+    Report {
+        machine: machine.into(),
+        addr: machine.into(),
+        machine_type: "g8".into(),
+        zone: zone.into(),
+        spot: false,
+        session,
+        seq,
+        token,
+        notice_s: None,
+        tasks: tasks.to_vec(),
+    }
+}
+
 pub fn running(order: &Order) -> TaskReport {
     exited_with(order, TaskState::Running, None)
 }
--- a/tests/late_orders.rs
+++ b/tests/late_orders.rs
@@ -8,7 +8,7 @@
 
 use common::{
     World,
-    duty::{Duty, exited, ops, running},
+    duty::{Duty, exited, ops, report_of, running},
     no_rule_broken, seconds, settings, state,
 };
 use serde_json::json;
@@ -27,18 +27,8 @@
 
 /// The worker answers a request with what it has then.
 fn answer(duty: &mut Duty, sent: &DirectRequest, seq: u64, tasks: &[TaskReport]) {
-    let report = Report {
-        machine: sent.machine.clone(),
-        addr: sent.machine.to_string(),
-        machine_type: "g8".into(),
-        zone: "a".into(),
-        spot: false,
-        session: sent.orders.session,
-        seq,
-        token: duty.leader.token_for(&sent.machine),
-        notice_s: None,
-        tasks: tasks.to_vec(),
-    };
+    let token = duty.leader.token_for(&sent.machine);
+    let report = report_of(&sent.machine, sent.orders.session, seq, token, tasks);
     let outcome = DirectOutcome::Answered(&report);
     duty.leader.on_direct(sent, outcome, duty.now).expect("leads");
     duty.seqs.insert(sent.machine.to_string(), seq);
@@ -175,7 +165,33 @@
     world.until("another leads", || world.leader().is_some_and(|l| l != old)).await;
     let lead: serde_json::Value =
         serde_json::from_str(&world.state.value("sw/lead").expect("a leader")).expect("json");
-    assert_eq!(lead["token"].as_u64(), Some(first + 1));
+    let next = lead["token"].as_u64().expect("a token");
+    assert_eq!(next, first + 1);
+    // The record holds the last token of the range, not the first.
+    let last = world.state.value("sw/token").and_then(|t| t.parse().ok());
+    assert_eq!(last, Some(TermTokens::starting_at(next).last()));
+    assert!(last > Some(next));
+}
+
+#[tokio::test(start_paused = true)]
+async fn answers_to_reports_carry_the_raised_token() {
+    let world = World::new(1).await;
+    let leader = world.leader().expect("a leader");
+    let machine = world.machines()[0].clone();
+    seconds(5).await;
+    let mut report = world.last_report(&machine);
+    // Nothing that is sent directly gets an answer; the test speaks for the worker.
+    world.cut(&machine, &[0, 1, 2]);
+    assert!(state(&world.submit(leader, "j-000001", json!({"Spokes": 1})).await).is_some());
+    for _ in 0..3 {
+        report.seq += 1;
+        let _ = world.node(leader).report(&report);
+        seconds(1).await;
+    }
+    report.seq += 1;
+    let first = report.token;
+    let reply = world.node(leader).report(&report);
+    assert!(matches!(&reply, ReportReply::Orders { token, .. } if *token > first), "{reply:?}");
 }
 
 #[tokio::test(start_paused = true)]
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -7,7 +7,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use common::{
-    duty::{Duty, exited, ops, running},
+    duty::{Duty, exited, ops, report_of, running},
     machine_type, settings, settings_with_coming_limits,
 };
 use serde_json::json;
@@ -338,18 +338,7 @@
     let request = duty.leader.take_direct(duty.now)[0].clone();
     let (id, orders) = (request.machine.clone(), request.orders.clone());
     let task = running(&orders.orders[0]);
-    let answer = Report {
-        machine: id.clone(),
-        addr: "n-1".into(),
-        machine_type: "g8".into(),
-        zone: "a".into(),
-        spot: false,
-        session: 1,
-        seq: 7,
-        token: 5,
-        notice_s: None,
-        tasks: vec![task],
-    };
+    let answer = report_of(&id, 1, 7, 5, &[task]);
     duty.leader.on_direct(&request, DirectOutcome::Answered(&answer), duty.now).expect("leads");
     // A report sent before the order was carried out is older by its number.
     assert!(duty.report_at("n-1", 2, 1, &[]).is_empty());
@@ -441,18 +430,7 @@
         .map(running)
         .collect();
     assert_eq!(listed.len(), 1);
-    let answer = Report {
-        machine: id.clone(),
-        addr: "n-1".into(),
-        machine_type: "g8".into(),
-        zone: "a".into(),
-        spot: false,
-        session: 1,
-        seq: 9,
-        token: 5,
-        notice_s: None,
-        tasks: listed.clone(),
-    };
+    let answer = report_of(&id, 1, 9, 5, &listed);
     duty.leader.on_direct(&request, DirectOutcome::Answered(&answer), duty.now).expect("leads");
     duty.settle();
     assert_eq!(duty.bound("j-000001").len(), 1, "it may still start there");
