Ended jobs are held in a few bytes each, and as soon as they are read

Cause: a record of each ended job is kept for ever, and every controller held it as an id on the heap, a map entry and, if cancelled, an entry in a second tree; a complete reading held all raw records besides, and a list of as many changes.

Now: an id is a number with its digits counted, an end one word; ends are taken in part by part while the reading goes on, which is right at any time since an end is final; only the latest cancellations are held for the notices in heartbeats, which then say that they are not all. The reading's changes name every ended job that still has records, so confirmations are noted as before.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -188,7 +188,7 @@
             // Pages written before keep their layout.
             job.page_tasks = self.settings.page_tasks();
         }
-        let ended = picture.ends.contains_key(id) || picture.dependencies.is_cancelled(id);
+        let ended = picture.ends.contains(id) || picture.dependencies.is_cancelled(id);
         job.ended = ended.then(|| Ended::learned(now));
         job.waits_for_others = picture.dependencies.waits(id);
         job.priority = picture.dependencies.effective_priority(id).unwrap_or(job.priority);
--- a/src/controller/writes.rs
+++ b/src/controller/writes.rs
@@ -158,7 +158,7 @@
         }
         let mut conditions = vec![lead.clone()];
         let mut writes = Vec::new();
-        if !picture.ends.contains_key(id) {
+        if !picture.ends.contains(id) {
             // Nothing is dropped before the end is in the records: without it the
             // job would be forgotten, and what depends on it would wait for ever.
             let end = self.end_of(id, picture)?;
@@ -207,7 +207,7 @@
                 self.cancelling.remove(id);
                 let Some(job) = self.jobs.get_mut(id) else { return };
                 job.ending = false;
-                if picture.ends.contains_key(id) {
+                if picture.ends.contains(id) {
                     job.ended.get_or_insert(Ended::learned(now));
                 }
                 if picture.jobs.contains_key(id) {
@@ -239,7 +239,7 @@
                 if let Some(job) = self.jobs.get_mut(&id) {
                     job.ending = false;
                     // Cancelled in the meantime: the first end wins.
-                    if picture.ends.contains_key(&id) {
+                    if picture.ends.contains(&id) {
                         job.ended.get_or_insert(Ended::learned(now));
                     }
                     self.ending.insert(id);
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -111,7 +111,9 @@
                 since.clone_from(&last.key);
             }
             let more = page.more && !page.items.is_empty();
-            items.extend(page.items);
+            let (changes, others) = lock(&self.picture).note_ends(page.items);
+            self.dispatch(&changes);
+            items.extend(others);
             if !more {
                 break;
             }
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -129,7 +129,7 @@
             Condition { key: store::end_key(&spec.id), version: 0 },
         ];
         let picture = lock(&self.picture);
-        let mut unfinished = spec.dependencies.iter().filter(|id| !picture.ends.contains_key(*id));
+        let mut unfinished = spec.dependencies.iter().filter(|id| !picture.ends.contains(id));
         let room = self.settings.state_limits().transaction_conditions() - conditions.len();
         let covered = unfinished.by_ref().take(room);
         conditions.extend(covered.map(|id| Condition { key: store::end_key(id), version: 0 }));
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -104,7 +104,7 @@
         // A job whose end is known is stopped: that is right under any token.
         let picture = lock(&self.picture);
         let ended = |t: &&TaskReport| {
-            let job = parse_task(&t.task).and_then(|(job, _)| picture.ends.get(&job).copied());
+            let job = parse_task(&t.task).and_then(|(job, _)| picture.ends.get(&job));
             t.state != TaskState::Exited && job.is_some_and(|e| e.state == JobState::Cancelled)
         };
         let stop = |t: &TaskReport| Order {
--- a/src/store.rs
+++ b/src/store.rs
@@ -12,8 +12,11 @@
 //! | `sw/p/{job}/{page}` | placements and progress of some tasks | the leader |
 //! | `sw/e/{job}` | how the job ended, created once, kept for ever | leader (done), any node (cancelled) |
 
+mod ended_jobs;
+mod recent_cancellations;
+
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::Arc,
 };
 
@@ -27,18 +30,22 @@
     },
 };
 
+pub use ended_jobs::EndedJobs;
+pub use recent_cancellations::RecentCancellations;
+
 pub const PREFIX: &str = "sw/";
 pub const LEAD: &str = "sw/lead";
 pub const TOKEN: &str = "sw/token";
 pub const TYPES: &str = "sw/types";
 pub const REPORTS_TURNED_AWAY: &str = "sw/stray";
+const ENDS: &str = "sw/e/";
 
 pub fn job_key(id: &str) -> String {
     format!("sw/j/{id}")
 }
 
 pub fn end_key(id: &str) -> String {
-    format!("sw/e/{id}")
+    format!("{ENDS}{id}")
 }
 
 pub fn page_key(id: &str, page: u32) -> String {
@@ -193,27 +200,34 @@
     pub types: Option<(u64, Arc<Vec<MachineType>>)>,
     pub jobs: HashMap<JobId, JobEntry>,
     pub pages: HashMap<JobId, BTreeMap<u32, PageEntry>>,
-    pub ends: HashMap<JobId, End>,
+    pub ends: EndedJobs,
     /// What the jobs that have not ended depend on.
     pub dependencies: DependencyGraph,
     /// Accepted jobs whose records can't be read: they are neither run nor
     /// called unknown.
     pub unreadable: HashSet<JobId>,
-    /// Cancelled jobs by the revision of their end.
-    pub cancelled: BTreeSet<(u64, JobId)>,
+    /// Jobs cancelled lately, by the revision of their end.
+    pub cancelled: RecentCancellations,
 }
 
 impl Picture {
     /// Jobs that were cancelled after `revision`, the first `most` of them, and
     /// whether these are all.
     pub fn cancelled_since(&self, revision: u64, most: usize) -> (Vec<(String, u64, u32)>, bool) {
-        let mut later = self.cancelled.range((revision.saturating_add(1), JobId::from(""))..);
-        let jobs = later
-            .by_ref()
-            .take(most)
-            .map(|(at, id)| (id.to_string(), *at, self.ends.get(id).map_or(0, |end| end.done)))
-            .collect();
-        (jobs, later.next().is_none())
+        let (later, all) = self.cancelled.since(revision, most);
+        let done = |id: &JobId| self.ends.get(id).map_or(0, |end| end.done);
+        (later.into_iter().map(|(at, id)| (id.to_string(), at, done(id))).collect(), all)
+    }
+
+    /// Takes in the ends among the records of a part of a reading, and returns
+    /// what changed and the other records. An end is final, so it need not wait
+    /// for the rest of the reading, and what a reading holds until it is whole
+    /// doesn't grow with the jobs of the past.
+    pub fn note_ends(&mut self, mut items: Vec<Item>) -> (Vec<Change>, Vec<Item>) {
+        let is_end = |item: &mut Item| item.key.starts_with(ENDS);
+        let ends: Vec<Item> = items.extract_if(.., is_end).collect();
+        let noted = |item: Item| self.put(&item.key, item.value, item.version);
+        (ends.into_iter().flat_map(noted).collect(), items)
     }
 
     /// Takes a full reading in place of what is held. Returns what changed.
@@ -223,7 +237,10 @@
     /// be missing. `since` is what changed after the reading began, in order; with
     /// it the picture is that of one revision.
     pub fn replace(&mut self, items: Vec<Item>, began: u64, since: Events) -> Vec<Change> {
-        let old = std::mem::take(self);
+        let mut old = std::mem::take(self);
+        // An end is final: none is ever read again as something else.
+        self.ends = std::mem::take(&mut old.ends);
+        self.cancelled = std::mem::take(&mut old.cancelled);
         let mut changes = vec![Change::Lead];
         for item in items {
             changes.extend(self.put(&item.key, item.value, item.version));
@@ -235,6 +252,10 @@
         for id in old.jobs.keys().filter(|id| !self.jobs.contains_key(*id)) {
             changes.push(Change::Ended(id.clone()));
         }
+        // Their ends may have been noted before the jobs were known.
+        for id in self.jobs.keys().filter(|id| self.ends.contains(id)) {
+            changes.push(Change::Ended(id.clone()));
+        }
         self.loaded = true;
         changes
     }
@@ -244,10 +265,6 @@
     /// look ended because of that, nor a cancelled one unknown.
     fn keep_later(&mut self, old: &Self, revision: u64) {
         // Those who follow the picture heard of all this when it was noted.
-        for (id, end) in &old.ends {
-            let _ = self.note_end(id.clone(), *end);
-        }
-        self.cancelled.extend(old.cancelled.iter().cloned());
         for job in old.jobs.values().filter(|job| job.version > revision) {
             let _ = self.note_job(job.clone());
         }
@@ -273,8 +290,8 @@
             return Vec::new();
         }
         let mut changes = vec![Change::Arrived(id.clone())];
-        if !self.ends.contains_key(&id) {
-            let outcome = |needed: &JobId| self.ends.get(needed).and_then(End::outcome);
+        if !self.ends.contains(&id) {
+            let outcome = |needed: &JobId| self.ends.get(needed).and_then(|end| end.outcome());
             let spec = &job.spec;
             let effects = self.dependencies.insert(&id, spec.priority, &spec.dependencies, outcome);
             changes.extend(changes_of(effects));
@@ -284,10 +301,10 @@
     }
 
     fn note_end(&mut self, id: JobId, end: End) -> Vec<Change> {
-        if self.ends.contains_key(&id) {
+        if self.ends.contains(&id) {
             return Vec::new();
         }
-        self.ends.insert(id.clone(), end);
+        self.ends.insert(&id, end);
         let effects = end.outcome().map(|outcome| self.dependencies.end(&id, outcome));
         let mut changes = vec![Change::Ended(id)];
         changes.extend(changes_of(effects.unwrap_or_default()));
@@ -360,13 +377,13 @@
                         Some(self.note_job(JobEntry { version, spec: Arc::new(spec) }))
                     }
                     "e" if is_job_id(name) => {
-                        if self.ends.contains_key(name) {
+                        if self.ends.contains(name) {
                             return None;
                         }
                         let id: JobId = name.into();
                         let end: End = read(key, &raw)?;
                         if end.state == JobState::Cancelled {
-                            self.cancelled.insert((version, id.clone()));
+                            self.cancelled.insert(version, id.clone());
                         }
                         Some(self.note_end(id, end))
                     }
@@ -421,21 +438,21 @@
     /// The first of these jobs that this picture doesn't know as accepted.
     pub fn first_unknown<'a>(&self, jobs: &'a [JobId]) -> Option<&'a JobId> {
         let known = |id: &JobId| {
-            self.jobs.contains_key(id) || self.ends.contains_key(id) || self.unreadable.contains(id)
+            self.jobs.contains_key(id) || self.ends.contains(id) || self.unreadable.contains(id)
         };
         jobs.iter().find(|id| !known(id))
     }
 
     /// A job's state as this picture has it, or none for one never accepted.
     pub fn status(&self, id: &str) -> Option<JobStatus> {
-        let ended = |id: &JobId, state, done| JobStatus { id: id.clone(), state, done, running: 0 };
-        if let Some((id, end)) = self.ends.get_key_value(id) {
-            return Some(ended(id, end.state, end.done));
+        let ended = |state, done| JobStatus { id: id.into(), state, done, running: 0 };
+        if let Some(end) = self.ends.get(id) {
+            return Some(ended(end.state, end.done));
         }
         let (id, _) = self.jobs.get_key_value(id)?;
         // It has never had a task, and its own end record may come later.
         if self.dependencies.is_cancelled(id) {
-            return Some(ended(id, JobState::Cancelled, 0));
+            return Some(ended(JobState::Cancelled, 0));
         }
         let (mut done, mut running) = (0, 0);
         for page in self.pages.get(id).into_iter().flat_map(BTreeMap::values) {
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use super::*;
@@ -186,7 +188,7 @@
         let of_job = |number: &u32| {
             let id = Self::id(*number);
             let graph = &picture.dependencies;
-            let unfinished = !picture.ends.contains_key(id.as_str());
+            let unfinished = !picture.ends.contains(id.as_str());
             let live = unfinished.then(|| {
                 (graph.waits(&id), graph.is_cancelled(&id), graph.effective_priority(&id))
             });
@@ -212,7 +214,7 @@
                     if known.is_some() {
                         continue;
                     }
-                    if picture.ends.contains_key(id) || picture.dependencies.is_cancelled(id) {
+                    if picture.ends.contains(id) || picture.dependencies.is_cancelled(id) {
                         self.ended.insert(id.clone());
                     }
                 }
@@ -224,7 +226,7 @@
         }
         for id in picture.jobs.keys() {
             let graph = &picture.dependencies;
-            let ended = picture.ends.contains_key(id) || graph.is_cancelled(id);
+            let ended = picture.ends.contains(id) || graph.is_cancelled(id);
             assert_eq!(self.ended.contains(id), ended, "{id} ended");
             assert!(ended || self.waits[id] == graph.waits(id), "{id} waits");
         }
@@ -250,6 +252,12 @@
             }
             let now = history.revision();
             if history.rng.random_bool(0.5) {
+                if history.rng.random_bool(0.5) {
+                    // Ends count as soon as they are read.
+                    let (changes, others) = read.note_ends(parts);
+                    follower.follow(&changes, &read);
+                    parts = others;
+                }
                 let changes = read.replace(parts, began, history.since(began, now));
                 follower.follow(&changes, &read);
             } else {
@@ -275,3 +283,44 @@
         }
     }
 }
+
+#[test]
+fn ended_jobs_are_told_apart_by_their_ids() {
+    let end = |state, done| End { state, done };
+    let done = end(JobState::Done, 100_000);
+    let cancelled = end(JobState::Cancelled, 0);
+    let mut ends = EndedJobs::default();
+    let longest = format!("j-{}", "9".repeat(20));
+    let odd = end(JobState::Done, u32::MAX);
+    for (id, held) in [("j-000412", done), ("j-412", cancelled), (&longest, done), ("j-7", odd)] {
+        assert_eq!(ends.get(id), None, "{id}");
+        ends.insert(id, held);
+        assert_eq!(ends.get(id), Some(held), "{id}");
+    }
+    for unknown in ["j-0412", "j-0000412", "412", "j-", "j-+412", "j-99999999999999999"] {
+        assert_eq!(ends.get(unknown), None, "{unknown}");
+    }
+    ends.insert("j-412", done);
+    assert_eq!(ends.get("j-412"), Some(cancelled), "the first end stays");
+}
+
+#[test]
+fn a_notice_of_cancellations_says_so_when_older_ones_are_no_longer_held() {
+    let mut picture = Picture::default();
+    let many = 5000;
+    for revision in 1..=many {
+        picture.put(&end_key(&format!("j-{revision:06}")), raw(CANCELLED), revision);
+    }
+    let (jobs, all) = picture.cancelled_since(many - 3, 9);
+    let latest = [many - 2, many - 1, many].map(|n| (format!("j-{n:06}"), n, 1));
+    assert_eq!((jobs.as_slice(), all), (latest.as_slice(), true));
+    let (jobs, all) = picture.cancelled_since(10, usize::MAX);
+    assert!(!all, "what was cancelled right after revision 10 is not among them");
+    assert!(jobs.len() >= crate::node::MOST_NOTICED_CANCELLATIONS);
+    // Read once more, in the order of keys.
+    let mut read = Picture::default();
+    for revision in (1..=many).rev() {
+        read.put(&end_key(&format!("j-{revision:06}")), raw(CANCELLED), revision);
+    }
+    assert_eq!(read.cancelled_since(10, usize::MAX), picture.cancelled_since(10, usize::MAX));
+}
--- a/tests/late_orders.rs
+++ b/tests/late_orders.rs
@@ -448,7 +448,7 @@
         }
         assert_eq!(deleted as u32, pages, "a page stays without its job");
         assert!(duty.picture.pages.is_empty() && duty.picture.jobs.is_empty());
-        assert!(duty.picture.ends.contains_key("j-000001"));
+        assert!(duty.picture.ends.contains("j-000001"));
     }
 }
 
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -782,7 +782,7 @@
         duty.settle();
         assert!(largest_page(&duty.picture) <= VALUE_BYTES);
     }
-    assert!(duty.picture.ends.contains_key("j-000001"));
+    assert!(duty.picture.ends.contains("j-000001"));
 }
 
 /// A page that a version without the coming limits filled with `tasks` places.
