--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -324,3 +324,21 @@
     }
     assert_eq!(read.cancelled_since(10, usize::MAX), picture.cancelled_since(10, usize::MAX));
 }
+
+#[test]
+fn an_end_read_before_its_job_is_told_once_the_job_is_known() {
+    // A leader or whoever counts the time since a confirmation would else never
+    // hear of it.
+    let mut picture = Picture::default();
+    let item = |key: String, value, version| Item { key, value: raw(value), version };
+    let part = vec![
+        item(end_key("j-000001"), CANCELLED, 7),
+        item(job_key("j-000001"), SPEC, 5),
+        item(page_key("j-000001", 0), r#"{"a":1}"#, 6),
+    ];
+    let (changes, others) = picture.note_ends(part);
+    assert_eq!(changes, [Change::Ended("j-000001".into())]);
+    assert_eq!(others.len(), 2);
+    let changes = picture.replace(others, 8, nothing_since(8));
+    assert!(changes.contains(&Change::Ended("j-000001".into())), "{changes:?}");
+}
