Request bodies are read within a time and a budget of bytes

Cause: each connection could hold a body of 64 KiB for as long as its sender liked; on a machine with 500 sockets that is more than its 27 MB, and the process would be ended for it.

Now large bodies share an eighth of the memory, workers' reports another eighth of their own; what finds no room is told so at once with 503, a body that doesn't come within half a worker's lease gets 408.

--- /dev/null
+++ b/src/http/body.rs
@@ -0,0 +1,126 @@
+//! Request bodies: read whole before a request is handled, within a time, and
+//! within a budget of bytes, so that callers can't fill the memory of a small
+//! machine by sending large bodies on all connections at once.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Body;
+use thiserror::Error;
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{Duration, timeout},
+};
+
+use crate::protocol::BODY_LIMIT;
+
+/// Bodies up to this size need no room of the budget: the number of sockets
+/// bounds what they hold.
+const SMALL_BODY: usize = 4 * 1024;
+
+/// The share of the memory that the bodies of workers' reports may take, and as
+/// much again those of all other requests.
+const MEMORY_PARTS: f64 = 8.0;
+
+/// Why a body was not read.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum BodyError {
+    #[error("the body can't be read")]
+    Unreadable,
+    #[error("the body did not come in time")]
+    TooSlow,
+    #[error("too many large bodies at once")]
+    NoRoom,
+}
+
+/// Who sends a body. Workers have a budget of their own: their leases depend on
+/// it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sender {
+    Worker,
+    Other,
+}
+
+/// A whole body, which keeps its room until it is dropped.
+#[derive(Debug)]
+pub struct ReadBody {
+    pub bytes: Bytes,
+    _room: Option<OwnedSemaphorePermit>,
+}
+
+/// Bytes that bodies may hold at once.
+pub struct BodyBudget {
+    workers: Arc<Semaphore>,
+    others: Arc<Semaphore>,
+    within: Duration,
+}
+
+impl BodyBudget {
+    /// `memory`: all the bytes that the process may hold. `within`: how long a
+    /// body may take to arrive.
+    pub fn new(memory: f64, within: Duration) -> Self {
+        // One body always has room.
+        let room = ((memory / MEMORY_PARTS) as usize).max(BODY_LIMIT);
+        Self {
+            workers: Arc::new(Semaphore::new(room)),
+            others: Arc::new(Semaphore::new(room)),
+            within,
+        }
+    }
+
+    /// Reads a body whole, or says at once that there is no room for it.
+    pub async fn read<B>(&self, sender: Sender, body: B) -> Result<ReadBody, BodyError>
+    where
+        B: Body<Data = Bytes>,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        // A body of unknown length may become as long as any.
+        let length = body.size_hint().exact().unwrap_or(BODY_LIMIT as u64);
+        let length = usize::try_from(length).map_err(|_| BodyError::Unreadable)?;
+        if length > BODY_LIMIT {
+            return Err(BodyError::Unreadable);
+        }
+        let room = if length > SMALL_BODY { Some(self.reserve(sender, length)?) } else { None };
+        let whole = timeout(self.within, collect(body, length)).await;
+        let bytes = whole.map_err(|_| BodyError::TooSlow)??;
+        Ok(ReadBody { bytes, _room: room })
+    }
+
+    fn reserve(&self, sender: Sender, length: usize) -> Result<OwnedSemaphorePermit, BodyError> {
+        let budget = match sender {
+            Sender::Worker => &self.workers,
+            Sender::Other => &self.others,
+        };
+        let length = u32::try_from(length).map_err(|_| BodyError::Unreadable)?;
+        budget.clone().try_acquire_many_owned(length).map_err(|_| BodyError::NoRoom)
+    }
+}
+
+async fn collect<B>(body: B, length: usize) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut body = std::pin::pin!(Limited::new(body, BODY_LIMIT));
+    let mut first: Option<Bytes> = None;
+    let mut rest = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| BodyError::Unreadable)?.into_data() else { continue };
+        match &first {
+            // Most bodies come in one piece, which is handed on as it is.
+            None => first = Some(data),
+            Some(begin) => {
+                if rest.is_empty() {
+                    rest.reserve(length);
+                    rest.extend_from_slice(begin);
+                }
+                rest.extend_from_slice(&data);
+            }
+        }
+    }
+    Ok(if rest.is_empty() { first.unwrap_or_default() } else { rest.freeze() })
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP, both sides: warp routes for users and workers, and the client.
 
+mod body;
 pub mod client;
 pub mod server;
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use http_body_util::Limited;
+use http_body_util::Full;
 use hyper::{Request, body::Incoming, service::service_fn};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
@@ -19,6 +19,7 @@
     reply::Response,
 };
 
+use super::body::{BodyBudget, BodyError, Sender};
 use crate::{
     node::{Node, ReportReply, Trouble, UserReply},
     protocol::{BODY_LIMIT, ErrorBody, Misdirected, Report, ReportAnswer},
@@ -28,6 +29,8 @@
 /// connections are closed after an answer: workers come first.
 const SCARCE: usize = 8;
 
+const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
+
 fn json<T: serde::Serialize>(status: StatusCode, body: &T) -> Response {
     warp::reply::with_status(warp::reply::json(body), status).into_response()
 }
@@ -145,6 +148,44 @@
     }
 }
 
+fn sender<B>(request: &Request<B>) -> Sender {
+    let worker = request.uri().path().starts_with("/agent/");
+    if worker { Sender::Worker } else { Sender::Other }
+}
+
+fn close_after(answer: &mut Response) {
+    answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
+
+/// Reads the body of a request and has it answered.
+async fn answer<S>(
+    service: &S,
+    bodies: &BodyBudget,
+    sender: Sender,
+    request: Request<Incoming>,
+) -> Result<Response, S::Error>
+where
+    S: hyper::service::Service<Request<Full<Bytes>>, Response = Response>,
+{
+    let (parts, body) = request.into_parts();
+    match bodies.read(sender, body).await {
+        Ok(body) => {
+            let request = Request::from_parts(parts, Full::from(body.bytes.clone()));
+            service.call(request).await
+        }
+        Err(reason) => {
+            let mut refusal = match reason {
+                BodyError::Unreadable => error(StatusCode::BAD_REQUEST, reason.to_string()),
+                BodyError::TooSlow => error(StatusCode::REQUEST_TIMEOUT, reason.to_string()),
+                BodyError::NoRoom => come_back(&reason.to_string()),
+            };
+            // The rest of the body may still come on this connection.
+            close_after(&mut refusal);
+            Ok(refusal)
+        }
+    }
+}
+
 /// Accepts connections until told to stop, with a routine for each.
 pub async fn serve(node: Arc<Node>, listener: TcpListener, stop: CancellationToken) {
     let limit = node.settings.public_sockets();
@@ -152,6 +193,8 @@
     // A worker that was silent for longer has left; what a cut left half open
     // must not hold a socket for long.
     let idle = node.settings.worker_lease() * 2;
+    let memory = node.settings.cluster.quota.mem_mb * BYTES_PER_MB;
+    let bodies = Arc::new(BodyBudget::new(memory, node.settings.worker_lease() / 2));
     let service = warp::service(routes(node));
     let connections = TaskTracker::new();
     loop {
@@ -163,16 +206,15 @@
         let _ = stream.set_nodelay(true);
         let inner = TowerToHyperService::new(service.clone());
         let free = slots.clone();
+        let bodies = bodies.clone();
         let service = service_fn(move |request: Request<Incoming>| {
-            let gives_way = !request.uri().path().starts_with("/agent/")
-                && free.available_permits() < limit / SCARCE;
-            let request = request.map(|body| Limited::new(body, BODY_LIMIT));
-            let answer = hyper::service::Service::call(&inner, request);
+            let sender = sender(&request);
+            let gives_way = sender == Sender::Other && free.available_permits() < limit / SCARCE;
+            let (inner, bodies) = (inner.clone(), bodies.clone());
             async move {
-                let mut answer = answer.await;
+                let mut answer = answer(&inner, &bodies, sender, request).await;
                 if let (true, Ok(answer)) = (gives_way, &mut answer) {
-                    let close = HeaderValue::from_static("close");
-                    answer.headers_mut().insert(header::CONNECTION, close);
+                    close_after(answer);
                 }
                 answer
             }
