--- /dev/null
+++ b/src/node/cloud_duty.rs
@@ -0,0 +1,92 @@
+//! What the leader asks of the cloud: rentals, deletions, and again and again
+//! the machine types and the machine list.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+use tracing::debug;
+
+use super::Node;
+use crate::{
+    cloud::CloudError,
+    protocol::{MachineId, Rental},
+};
+
+/// Sees one rental through, under its one name.
+pub(super) async fn rent(node: Arc<Node>, version: u64, rental: Rental) {
+    loop {
+        let answer = match node.cloud.rent(rental.clone()).await {
+            Ok(machines) => Some(machines),
+            Err(CloudError::NoCapacity) => None,
+            Err(error) => {
+                // The same name again: if it was carried out, nothing is
+                // rented twice.
+                debug!(%error, request = %rental.request, "rental");
+                tokio::time::sleep(node.settings.report()).await;
+                continue;
+            }
+        };
+        node.with_leader(version, |leader| leader.rented(&rental, answer, Instant::now()));
+        return node.work.notify_one();
+    }
+}
+
+/// Returns machines to the cloud.
+pub(super) async fn give_back(node: Arc<Node>, version: u64, machines: Vec<MachineId>) {
+    match node.cloud.delete(machines.clone()).await {
+        Ok(()) => {
+            node.with_leader(version, |leader| leader.deleted(&machines, Instant::now()));
+        }
+        Err(error) => {
+            debug!(%error, "deletion");
+            tokio::time::sleep(node.settings.report()).await;
+            node.with_leader(version, |leader| leader.not_deleted(machines));
+        }
+    }
+    node.work.notify_one();
+}
+
+/// Reads the machine types and the machine list again and again.
+pub(super) async fn cloud_duty(node: Arc<Node>, version: u64) {
+    // The list is as old as its lag; reading it more often than that tells
+    // little, and never more than a few times per report interval.
+    let every = Duration::from_secs_f64(node.settings.cluster.cloud.list_lag_s / 2.0)
+        .max(node.settings.report() * 3);
+    let mut types_due = Instant::now();
+    loop {
+        if types_due <= Instant::now() {
+            match node.cloud.machine_types().await {
+                Ok(types) => {
+                    node.with_leader(version, |leader| leader.on_types(types));
+                    types_due = Instant::now() + every * 10;
+                    node.work.notify_one();
+                }
+                Err(error) => {
+                    debug!(%error, "machine types");
+                    types_due = Instant::now() + every / 4;
+                }
+            }
+        }
+        let mut since = String::new();
+        loop {
+            match node.cloud.list(&since).await {
+                Ok(list) => {
+                    if let Some(last) = list.machines.last() {
+                        since = last.id.to_string();
+                    }
+                    let now = Instant::now();
+                    node.with_leader(version, |leader| leader.on_list(&list.machines, now));
+                    if !list.more || list.machines.is_empty() {
+                        break;
+                    }
+                }
+                Err(error) => {
+                    debug!(%error, "machine list");
+                    break;
+                }
+            }
+        }
+        let pause = every.min(types_due.saturating_duration_since(Instant::now()));
+        tokio::time::sleep(pause.max(node.settings.report() / 2)).await;
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,8 +2,10 @@
 //! workers, and the duties that keep it going.
 //!
 //! `users`, `workers` and `links` answer each of these; `records` keeps the
-//! picture; `leading` carries out what a leader's duty decides.
+//! picture; `leading` carries out what a leader's duty decides, with `cloud_duty`
+//! for the cloud.
 
+mod cloud_duty;
 mod leading;
 mod links;
 mod records;
