Links between controllers are bounded in number

Cause: a link may hold an unfinished frame of 64 KiB, and any number of them was heard.

Now 16 for each other controller are heard, the others wait in the listener until one has been silent for a lease.

The test was seen to fail without the bound.

--- a/src/peers.rs
+++ b/src/peers.rs
@@ -18,6 +18,7 @@
 use futures_util::{SinkExt, StreamExt};
 use tokio::{
     net::{TcpListener, TcpStream},
+    sync::Semaphore,
     time::{Duration, Instant, timeout},
 };
 use tokio_util::{
@@ -40,6 +41,16 @@
 /// that it tells; a longer frame is not one of ours.
 const FRAME_LIMIT: usize = 64 * 1024;
 
+/// Links heard at once for each other controller. One is in use; after cuts and
+/// restarts some more are left half open until they have been silent for a lease.
+const LINKS_PER_MEMBER: usize = 16;
+
+/// Links heard at once. Each may hold an unfinished frame, so without a bound
+/// whoever opens many could fill the memory of a small machine.
+pub fn most_links(members: usize) -> usize {
+    members.max(1) * LINKS_PER_MEMBER
+}
+
 /// What a frame's section holds. A field is never added to a struct on the
 /// wire, for bitcode doesn't describe itself: it gets a section of its own,
 /// which controllers of another version pass over.
@@ -150,8 +161,14 @@
 
 /// Takes in the others' heartbeats.
 pub async fn listen(node: Arc<Node>, listener: TcpListener, stop: CancellationToken) {
+    let slots = Arc::new(Semaphore::new(most_links(node.settings.members.len())));
     let links = TaskTracker::new();
-    while let Some(stream) = accept(&listener, &stop).await {
+    loop {
+        let slot = tokio::select! {
+            slot = slots.clone().acquire_owned() => slot,
+            () = stop.cancelled() => break,
+        };
+        let Some(stream) = accept(&listener, &stop).await else { break };
         let node = node.clone();
         let stop = stop.clone();
         links.spawn(async move {
@@ -159,6 +176,7 @@
                 () = hear(node, stream) => {}
                 () = stop.cancelled() => {}
             }
+            drop(slot);
         });
     }
     links.close();
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -16,10 +16,16 @@
 use stonewheel::{
     http::server::routes,
     node::{Node, Trouble, UserReply},
+    peers,
     protocol::{Condition, JobState, Write},
     store,
 };
-use tokio::time::{Instant, sleep};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    time::{Instant, sleep},
+};
+use tokio_util::sync::CancellationToken;
 
 fn created(reply: &Result<UserReply, Trouble>) -> bool {
     matches!(reply, Ok(UserReply::Created(_)))
@@ -512,3 +518,38 @@
     }
     assert!(world.broken().is_empty(), "{:?}", world.broken());
 }
+
+/// Runs in real time, since it has real connections.
+#[tokio::test]
+async fn unfinished_frames_on_many_links_are_bounded_and_links_come_free_again() {
+    let world = World::new(0).await;
+    let node = world.node(0);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let stop = CancellationToken::new();
+    let listening = tokio::spawn(peers::listen(node.clone(), listener, stop.clone()));
+    let mut unfinished = Vec::new();
+    for _ in 0..peers::most_links(node.settings.members.len()) {
+        let mut link = TcpStream::connect(address).await.expect("connected");
+        // The length of a frame, and none of it.
+        link.write_all(&1024_u32.to_be_bytes()).await.expect("sent");
+        unfinished.push(link);
+    }
+    let mut heartbeat = world.node(1).heartbeat("m-0");
+    heartbeat.member = "m-9".into();
+    let frame = peers::encode(heartbeat);
+    let mut link = TcpStream::connect(address).await.expect("the system takes it");
+    link.write_all(&(frame.len() as u32).to_be_bytes()).await.expect("sent");
+    link.write_all(&frame).await.expect("sent");
+    let heard = || node.peers.any(Duration::from_secs(60), |heartbeat| heartbeat.member == "m-9");
+    sleep(Duration::from_millis(300)).await;
+    assert!(!heard(), "one link too many is heard");
+    unfinished.pop();
+    let limit = Instant::now() + Duration::from_secs(20);
+    while !heard() {
+        assert!(Instant::now() < limit, "a free link is not used");
+        sleep(Duration::from_millis(20)).await;
+    }
+    stop.cancel();
+    listening.await.expect("it ends when told to");
+}
