No fixed limit below 4,000 machines

Need: the operators now also run about 4,000 machines. Limits that such a fleet could reach: 1,024 cancellations a heartbeat and 4,096 held, frames of 64 KiB, a backlog of 1,024 connections while all workers come to a new leader, and a list of machines that begins anew after any failed page.

Change: cancellations, frames and backlog are ratios to settings; a member says how long a frame it hears, so that an older one is told what it can hear (frames of existing deployments stay byte for byte); the list goes on where it stood. Settings are divided into limits, operators' settings and warnings.

A quiet fleet of 4,000 turns the leader's loop no more often than one of 200. The backlog test was seen to hang with a backlog of 100. Not run: 4,000 machines over sockets.

--- a/src/fencing.rs
+++ b/src/fencing.rs
@@ -7,8 +7,9 @@
 //! higher one. The record of the last token holds the end of the range, so the
 //! next term begins beyond it, whichever version leads then.
 
-/// How often a leader can raise a worker's token. It does so once for a request
-/// without an answer, so no term comes near this.
+/// How often a leader can raise a worker's token. Each worker has its own, so this
+/// doesn't depend on how many there are, and it is raised once for a request without
+/// an answer, so no term comes near this.
 const TOKENS_PER_TERM: u64 = 1 << 20;
 
 /// The tokens of one term of leadership.
--- a/src/main.rs
+++ b/src/main.rs
@@ -60,7 +60,7 @@
 fn serve(settings: Settings) -> std::io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
-        let public = TcpListener::bind(settings.public_addr).await?;
+        let public = stonewheel::http::listen(settings.public_addr, settings.listen_backlog())?;
         let internal = TcpListener::bind(settings.internal_addr).await?;
         tracing::info!(member = %settings.member, zone = %settings.zone, "starting");
         let state = Arc::new(HttpState::new(&settings));
--- a/src/node/cloud_duty.rs
+++ b/src/node/cloud_duty.rs
@@ -53,6 +53,9 @@
     let every = Duration::from_secs_f64(node.settings.cluster.cloud.list_lag_s / 2.0)
         .max(node.settings.report() * 3);
     let mut types_due = Instant::now();
+    // A reading that fails goes on where it stood: the more pages a fleet's list
+    // has, the less likely is a reading without any failure.
+    let mut since = String::new();
     loop {
         if types_due <= Instant::now() {
             match node.cloud.machine_types().await {
@@ -67,7 +70,6 @@
                 }
             }
         }
-        let mut since = String::new();
         loop {
             match node.cloud.list(&since).await {
                 Ok(list) => {
@@ -77,6 +79,7 @@
                     let now = Instant::now();
                     node.with_leader(version, |leader| leader.on_list(&list.machines, now));
                     if !list.more || list.machines.is_empty() {
+                        since.clear();
                         break;
                     }
                 }
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -5,16 +5,12 @@
 
 use super::Node;
 use crate::{
-    peers::Message,
+    peers::{Message, noticed_cancellations_of},
     protocol::{CancellationNotice, Heartbeat, JobState, Write},
     state::lock,
     store::{self, End},
 };
 
-/// Cancellations that one heartbeat carries at most. A leader misses those of
-/// a lease of its own at the most, before an outage keeps all from writing.
-pub const MOST_NOTICED_CANCELLATIONS: usize = 1024;
-
 impl Node {
     pub fn heartbeat(&self, to: &str) -> Heartbeat {
         let (mark, echo) = lock(&self.peers.promises).beat(to, Instant::now());
@@ -23,7 +19,10 @@
         // A picture that was never read knows nothing of what a former process
         // of this member told.
         let told = echo.filter(|_| picture.loaded).map(|(_, since)| {
-            let (jobs, all) = picture.cancelled_since(since, MOST_NOTICED_CANCELLATIONS);
+            // More than the receiver can hear would cost the whole frame.
+            let most = self.settings.noticed_cancellations();
+            let most = most.min(noticed_cancellations_of(self.peers.frame_limit(to)));
+            let (jobs, all) = picture.cancelled_since(since, most);
             CancellationNotice { since, all, jobs }
         });
         Heartbeat {
@@ -68,7 +67,9 @@
 
     /// Takes in what another controller says.
     pub fn on_message(&self, message: Message) {
-        self.peers.note_features(&message.heartbeat.member, message.features);
+        let member = &message.heartbeat.member;
+        self.peers.note_features(member, message.features);
+        self.peers.note_frame_limit(member, message.frame_limit);
         self.on_heartbeat(message.heartbeat);
     }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -43,7 +43,6 @@
 };
 
 pub use leading::lead_duty;
-pub use links::MOST_NOTICED_CANCELLATIONS;
 
 /// Why a request can't be answered now. All of these are worth a retry.
 #[derive(Clone, Copy, Debug, Error, PartialEq)]
@@ -143,7 +142,7 @@
             workers,
             requests,
             admission: AdmissionLimit::new(target, ceiling),
-            picture: Mutex::default(),
+            picture: Mutex::new(Picture::noticing(settings.noticed_cancellations())),
             peers: Peers::new(members, settings.renewal_promise(), incarnation),
             settings,
             lead_changed: Notify::new(),
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -38,8 +38,25 @@
 };
 
 /// A heartbeat is a few dozen bytes, and some dozens more for each cancellation
-/// that it tells; a longer frame is not one of ours.
-const FRAME_LIMIT: usize = 64 * 1024;
+/// that it tells; a longer frame is not one of ours. Every version hears this
+/// much; what a controller hears beyond it, it says in its heartbeats.
+pub const LEAST_FRAME_LIMIT: usize = 64 * 1024;
+
+/// No less than what a frame holds for one cancellation.
+const NOTICE_BYTES: usize = 56;
+
+/// No less than what a frame holds besides cancellations.
+const FRAME_BYTES: usize = 4 * 1024;
+
+/// Cancellations that surely fit a frame of this length.
+pub fn noticed_cancellations_of(frame_limit: usize) -> usize {
+    frame_limit.saturating_sub(FRAME_BYTES) / NOTICE_BYTES
+}
+
+/// The length of a frame that surely holds so many cancellations.
+pub fn frame_limit_for(cancellations: usize) -> usize {
+    (cancellations * NOTICE_BYTES + FRAME_BYTES).max(LEAST_FRAME_LIMIT)
+}
 
 /// Links heard at once for each other controller. One is in use; after cuts and
 /// restarts some more are left half open until they have been silent for a lease.
@@ -57,6 +74,7 @@
 const HEARTBEAT: u8 = 1;
 const CANCELLATIONS: u8 = 2;
 const FEATURES: u8 = 3;
+const FRAME_LIMIT: u8 = 4;
 
 /// What this version can do.
 const OWN_FEATURES: Features = Features { small_pages: true };
@@ -67,15 +85,20 @@
     pub heartbeat: Heartbeat,
     /// What the sender's version can do; an older one says nothing of it.
     pub features: Features,
+    /// The longest frame that the sender hears.
+    pub frame_limit: usize,
 }
 
 /// A frame is a list of sections, each with its kind. This outer form is for
-/// ever.
-pub fn encode(mut heartbeat: Heartbeat) -> Vec<u8> {
+/// ever. `frame_limit`: the longest frame that the sender hears.
+pub fn encode(mut heartbeat: Heartbeat, frame_limit: usize) -> Vec<u8> {
     let told = heartbeat.cancellations.take();
     let mut sections = vec![(HEARTBEAT, bitcode::encode(&heartbeat))];
     sections.extend(told.map(|told| (CANCELLATIONS, bitcode::encode(&told))));
     sections.push((FEATURES, bitcode::encode(&OWN_FEATURES)));
+    if frame_limit > LEAST_FRAME_LIMIT {
+        sections.push((FRAME_LIMIT, bitcode::encode(&(frame_limit as u64))));
+    }
     bitcode::encode(&sections)
 }
 
@@ -87,11 +110,17 @@
     let mut heartbeat: Heartbeat = bitcode::decode(section(HEARTBEAT)?).ok()?;
     heartbeat.cancellations = section(CANCELLATIONS).and_then(|body| bitcode::decode(body).ok());
     let features = section(FEATURES).and_then(|body| bitcode::decode(body).ok());
-    Some(Message { heartbeat, features: features.unwrap_or_default() })
+    let limit: Option<u64> = section(FRAME_LIMIT).and_then(|body| bitcode::decode(body).ok());
+    let frame_limit = limit.and_then(|bytes| usize::try_from(bytes).ok()).unwrap_or(0);
+    Some(Message {
+        heartbeat,
+        features: features.unwrap_or_default(),
+        frame_limit: frame_limit.max(LEAST_FRAME_LIMIT),
+    })
 }
 
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT).new_codec()
+fn codec(frame_limit: usize) -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(frame_limit).new_codec()
 }
 
 /// The latest heartbeat of each other controller.
@@ -101,6 +130,8 @@
     pub known_cancellations: Mutex<KnownCancellations>,
     /// Members that have said that they know small pages.
     know_small_pages: Mutex<HashSet<String>>,
+    /// The longest frame that each member hears, by its latest word.
+    frame_limits: Mutex<HashMap<String, usize>>,
     /// An unreadable heartbeat was logged: whoever sends them sends many.
     unreadable_logged: AtomicBool,
 }
@@ -115,6 +146,7 @@
             promises: Mutex::new(promises),
             known_cancellations: Mutex::default(),
             know_small_pages: Mutex::default(),
+            frame_limits: Mutex::default(),
             unreadable_logged: AtomicBool::new(false),
         }
     }
@@ -147,6 +179,20 @@
         }
     }
 
+    /// Notes the longest frame that a member hears.
+    pub fn note_frame_limit(&self, member: &str, frame_limit: usize) {
+        let mut limits = lock(&self.frame_limits);
+        match limits.get_mut(member) {
+            Some(limit) => *limit = frame_limit,
+            None => drop(limits.insert(member.to_owned(), frame_limit)),
+        }
+    }
+
+    /// The longest frame that a member surely hears.
+    pub fn frame_limit(&self, member: &str) -> usize {
+        lock(&self.frame_limits).get(member).copied().unwrap_or(LEAST_FRAME_LIMIT)
+    }
+
     /// Whether every one of these members knows small pages.
     pub fn all_know_small_pages(&self, members: &[Member]) -> bool {
         let known = lock(&self.know_small_pages);
@@ -185,7 +231,7 @@
 
 async fn hear(node: Arc<Node>, stream: TcpStream) {
     let silence = node.settings.worker_lease();
-    let mut frames = FramedRead::new(stream, codec());
+    let mut frames = FramedRead::new(stream, codec(node.settings.frame_limit()));
     while let Ok(Some(Ok(frame))) = timeout(silence, frames.next()).await {
         match decode(&frame) {
             Some(message) => node.on_message(message),
@@ -206,9 +252,12 @@
         () = async {
             loop {
                 if let Ok(Ok(stream)) = timeout(every, TcpStream::connect(member.endpoint)).await {
-                    let mut frames = FramedWrite::new(stream, codec());
+                    // What the receiver hears bounds a frame, not this side.
+                    let mut frames = FramedWrite::new(stream, codec(u32::MAX as usize));
+                    let own_limit = node.settings.frame_limit();
                     loop {
-                        let frame = Bytes::from(encode(node.heartbeat(&member.member)));
+                        let heartbeat = node.heartbeat(&member.member);
+                        let frame = Bytes::from(encode(heartbeat, own_limit));
                         match timeout(every, frames.send(frame)).await {
                             Ok(Ok(())) => tokio::time::sleep(every).await,
                             _ => break,
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::protocol::CancellationNotice;
+use crate::{protocol::CancellationNotice, settings::LEAST_NOTICED_CANCELLATIONS};
 
 fn heartbeat() -> Heartbeat {
     Heartbeat {
@@ -25,21 +25,27 @@
 
 #[test]
 fn a_frame_is_read_as_it_was_written() {
-    let read = decode(&encode(heartbeat())).expect("a message");
-    assert_eq!(read, Message { heartbeat: heartbeat(), features: OWN_FEATURES });
+    let read = decode(&encode(heartbeat(), LEAST_FRAME_LIMIT)).expect("a message");
+    assert_eq!(
+        read,
+        Message { heartbeat: heartbeat(), features: OWN_FEATURES, frame_limit: LEAST_FRAME_LIMIT }
+    );
 }
 
 #[test]
 fn sections_of_a_newer_version_are_passed_over() {
-    let mut frame = sections(&encode(heartbeat()));
+    let mut frame = sections(&encode(heartbeat(), LEAST_FRAME_LIMIT));
     frame.insert(0, (9, vec![1, 2, 3]));
     let read = decode(&bitcode::encode(&frame)).expect("a message");
-    assert_eq!(read, Message { heartbeat: heartbeat(), features: OWN_FEATURES });
+    assert_eq!(
+        read,
+        Message { heartbeat: heartbeat(), features: OWN_FEATURES, frame_limit: LEAST_FRAME_LIMIT }
+    );
 }
 
 #[test]
 fn what_cannot_be_read_counts_as_unsaid() {
-    let mut frame = sections(&encode(heartbeat()));
+    let mut frame = sections(&encode(heartbeat(), LEAST_FRAME_LIMIT));
     frame[1].1 = vec![255; 3];
     let read = decode(&bitcode::encode(&frame)).expect("its heartbeat").heartbeat;
     assert_eq!(read, Heartbeat { cancellations: None, ..heartbeat() });
@@ -52,10 +58,31 @@
 #[test]
 fn the_most_that_is_told_fits_a_frame() {
     let longest = "j-99999999999999999999".to_owned();
-    let jobs = vec![(longest, u64::MAX, u32::MAX); crate::node::MOST_NOTICED_CANCELLATIONS];
-    let told = CancellationNotice { since: u64::MAX, all: false, jobs };
-    let frame = encode(Heartbeat { cancellations: Some(told), ..heartbeat() });
-    assert!(frame.len() < FRAME_LIMIT, "{}", frame.len());
+    for noticed in [LEAST_NOTICED_CANCELLATIONS, 4_400, 100_000] {
+        let jobs = vec![(longest.clone(), u64::MAX, u32::MAX); noticed];
+        let told = CancellationNotice { since: u64::MAX, all: false, jobs };
+        let limit = frame_limit_for(noticed);
+        let heartbeat = Heartbeat { cancellations: Some(told), ..heartbeat() };
+        let frame = encode(heartbeat, limit);
+        assert!(frame.len() < limit, "{} of {limit}", frame.len());
+        assert!(noticed_cancellations_of(limit) >= noticed);
+    }
+}
+
+#[test]
+fn a_member_is_told_no_more_than_it_said_that_it_hears() {
+    let peers = Peers::new(Vec::new(), Duration::from_secs(3), 1);
+    assert_eq!(peers.frame_limit("m-1"), LEAST_FRAME_LIMIT, "it has not said anything");
+    let limit = frame_limit_for(4_400);
+    let read = decode(&encode(heartbeat(), limit)).expect("a message");
+    assert_eq!(read.frame_limit, limit);
+    peers.note_frame_limit("m-1", read.frame_limit);
+    assert_eq!(peers.frame_limit("m-1"), limit);
+    // It came back with other settings, or as an older version.
+    let read = decode(&encode(heartbeat(), LEAST_FRAME_LIMIT)).expect("a message");
+    peers.note_frame_limit("m-1", read.frame_limit);
+    assert_eq!(peers.frame_limit("m-1"), LEAST_FRAME_LIMIT);
+    assert!(noticed_cancellations_of(LEAST_FRAME_LIMIT) >= LEAST_NOTICED_CANCELLATIONS);
 }
 
 /// Frames as the version before `Features` wrote them, byte for byte.
@@ -67,12 +94,19 @@
 #[test]
 fn frames_of_the_version_before_are_read_and_say_nothing_of_features() {
     let read = decode(&FRAME_OF_THE_VERSION_BEFORE).expect("a message");
-    assert_eq!(read, Message { heartbeat: heartbeat(), features: Features::default() });
+    assert_eq!(
+        read,
+        Message {
+            heartbeat: heartbeat(),
+            features: Features::default(),
+            frame_limit: LEAST_FRAME_LIMIT,
+        }
+    );
 }
 
 #[test]
 fn the_version_before_finds_its_own_sections_unchanged() {
-    let mut frame = sections(&encode(heartbeat()));
+    let mut frame = sections(&encode(heartbeat(), LEAST_FRAME_LIMIT));
     frame.retain(|(kind, _)| *kind != FEATURES);
     assert_eq!(bitcode::encode(&frame), FRAME_OF_THE_VERSION_BEFORE);
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,26 +4,35 @@
 //! Everything is checked at the start: a controller that starts has settings
 //! it can work with.
 
+mod limits;
+mod operator;
+mod warnings;
+
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use serde::Deserialize;
 use thiserror::Error;
 
+use limits::{BYTES_PER_KB, LEAST_TRANSACTION_WRITES};
+pub use limits::{EffectiveLimits, NextStateLimits, StateLimits};
+pub use operator::Operator;
+
 /// Idle connections kept to the state service and to the cloud, twice: those
 /// that a cut left half open take theirs until they time out.
 const STATE_SOCKETS: usize = 16;
 const CLOUD_SOCKETS: usize = 8;
 /// Listeners, the runtime's own, standard streams.
 const BASE_SOCKETS: usize = 12;
+/// What listeners have where nothing else is asked for.
+const LEAST_BACKLOG: u32 = 1024;
+
+/// What a heartbeat can tell at least, however slow the state service is:
+/// versions from before this was a ratio to the settings tell no more.
+pub const LEAST_NOTICED_CANCELLATIONS: usize = 1024;
+/// A leader that is refused alone misses what others confirm until its lease
+/// ends, and that as long again while the heartbeats catch up.
+const NOTICED_LEASES: f64 = 2.0;
 
-/// The state service takes so many conditions for each write that a
-/// transaction may have.
-const CONDITIONS_PER_WRITE: usize = 4;
-/// A job's end and the removal of its records must fit one transaction.
-const LEAST_TRANSACTION_WRITES: usize = 4;
-/// A submission with names of usual length must fit one value.
-const LEAST_VALUE_KB: f64 = 0.5;
-const BYTES_PER_KB: f64 = 1024.0;
 /// A page whose size follows today's limit must fit the coming one as long as
 /// few of its tasks are bound: what is kept of completed ones takes a tenth.
 const MOST_SHRINKING: f64 = 8.0;
@@ -122,83 +131,6 @@
     pub cancel_s: f64,
 }
 
-/// The limits of the state service, and those that it may have later on.
-#[derive(Clone, Debug, Deserialize)]
-pub struct StateLimits {
-    pub rps: f64,
-    pub write_rps: f64,
-    pub value_kb: f64,
-    pub txn_ops: usize,
-    /// Limits that come into force at an unannounced moment.
-    #[serde(default)]
-    pub next: NextStateLimits,
-}
-
-/// Limits that the state service will have later; absent ones stay as they are.
-#[derive(Clone, Debug, Default, Deserialize)]
-pub struct NextStateLimits {
-    pub rps: Option<f64>,
-    pub write_rps: Option<f64>,
-    pub value_kb: Option<f64>,
-    pub txn_ops: Option<usize>,
-}
-
-/// What may be asked of the state service now and later: of each limit the
-/// smaller of the present and the coming one.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct EffectiveLimits {
-    /// Requests a second.
-    pub requests_per_s: f64,
-    /// Puts and deletes a second.
-    pub writes_per_s: f64,
-    /// Bytes of one value.
-    pub value_bytes: usize,
-    /// Puts and deletes of one transaction.
-    pub transaction_writes: usize,
-}
-
-impl EffectiveLimits {
-    /// The most conditions that one transaction may have.
-    pub fn transaction_conditions(&self) -> usize {
-        self.transaction_writes * CONDITIONS_PER_WRITE
-    }
-}
-
-impl NextStateLimits {
-    fn check(&self) -> Result<(), (&'static str, &'static str)> {
-        let rates = [
-            ("cluster.state.next.rps", self.rps),
-            ("cluster.state.next.write_rps", self.write_rps),
-        ];
-        for (field, rate) in rates {
-            if rate.is_some_and(|rate| !rate.is_finite() || rate <= 0.0) {
-                return Err((field, "must be more than 0"));
-            }
-        }
-        if self.value_kb.is_some_and(|kb| !kb.is_finite() || kb < LEAST_VALUE_KB) {
-            return Err(("cluster.state.next.value_kb", "must be at least 0.5"));
-        }
-        if self.txn_ops.is_some_and(|writes| writes < LEAST_TRANSACTION_WRITES) {
-            return Err(("cluster.state.next.txn_ops", "must be at least 4"));
-        }
-        Ok(())
-    }
-}
-
-impl StateLimits {
-    /// The limits that hold at any time, whenever the coming ones begin.
-    pub fn effective(&self) -> EffectiveLimits {
-        let next = &self.next;
-        let value_kb = self.value_kb.min(next.value_kb.unwrap_or(f64::INFINITY));
-        EffectiveLimits {
-            requests_per_s: self.rps.min(next.rps.unwrap_or(f64::INFINITY)),
-            writes_per_s: self.write_rps.min(next.write_rps.unwrap_or(f64::INFINITY)),
-            value_bytes: (value_kb * BYTES_PER_KB) as usize,
-            transaction_writes: self.txn_ops.min(next.txn_ops.unwrap_or(usize::MAX)),
-        }
-    }
-}
-
 #[derive(Clone, Debug, Deserialize)]
 pub struct CloudLimits {
     pub rps: f64,
@@ -212,64 +144,6 @@
     pub fd_limit: u32,
 }
 
-/// What operators may set for themselves, with the project's defaults.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Operator {
-    /// Seconds between two rounds of the autoscaler (the design's Δ).
-    pub round_s: f64,
-    /// A running width changes only for at least this share more in total.
-    pub resize_gain: f64,
-    /// A gang's factor at width k is k / (1 + slope (k - 1)).
-    pub gang_slope: f64,
-    /// Idle machines are returned after this share of their type's boot time.
-    pub idle_boots: f64,
-    /// Empty machines kept ready, as a share of the root of the load of
-    /// classes with an aim on waiting.
-    pub headroom: f64,
-}
-
-impl Default for Operator {
-    fn default() -> Self {
-        Self { round_s: 4.0, resize_gain: 0.05, gang_slope: 0.1, idle_boots: 0.25, headroom: 0.4 }
-    }
-}
-
-impl Operator {
-    /// Reads the INI file; unknown sections and keys are mistakes here, since
-    /// an operator who mistypes a key would otherwise never learn of it.
-    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
-        let error = |field: &str, reason: &str| SettingsError {
-            file: file.into(),
-            field: field.into(),
-            reason: reason.into(),
-        };
-        let ini = ini::Ini::load_from_str(text).map_err(|e| error("syntax", &e.to_string()))?;
-        let mut operator = Self::default();
-        for (section, keys) in ini.iter() {
-            for (key, value) in keys.iter() {
-                let field = format!("{}.{key}", section.unwrap_or(""));
-                let slot = match field.as_str() {
-                    "scheduler.round_s" => &mut operator.round_s,
-                    "scheduler.resize_gain" => &mut operator.resize_gain,
-                    "scheduler.gang_slope" => &mut operator.gang_slope,
-                    "fleet.idle_boots" => &mut operator.idle_boots,
-                    "fleet.headroom" => &mut operator.headroom,
-                    _ => return Err(error(&field, "unknown key")),
-                };
-                *slot = value
-                    .parse::<f64>()
-                    .ok()
-                    .filter(|v| v.is_finite() && *v >= 0.0)
-                    .ok_or_else(|| error(&field, "must be a number of at least 0"))?;
-            }
-        }
-        if operator.round_s <= 0.0 {
-            return Err(error("scheduler.round_s", "must be more than 0"));
-        }
-        Ok(operator)
-    }
-}
-
 impl Settings {
     pub fn load(path: &Path, operator: Option<&Path>) -> Result<Self, SettingsError> {
         let read = |path: &Path| {
@@ -356,64 +230,6 @@
         Ok(())
     }
 
-    /// What will work, but badly: one line each, for the operator.
-    pub fn warnings(&self) -> Vec<String> {
-        let limits = self.state_limits();
-        let mut found = Vec::new();
-        // Each controller asks by itself, without any user: renewals or reads
-        // several times per leader lease, and a watch.
-        let quiet = 8.0 / self.leader_lease().as_secs_f64();
-        let share = self.share(limits.requests_per_s, false);
-        if share < quiet {
-            found.push(format!(
-                "cluster.state.rps: {:.1} requests a second are left for each of {} controllers, \
-                 and {quiet:.1} go to watches and reads alone: answers will be late",
-                share, self.cluster.size
-            ));
-        }
-        let writes = self.share(limits.writes_per_s, false);
-        if writes < 1.0 {
-            found.push(format!(
-                "cluster.state.write_rps: {writes:.1} changes a second are left for each of {} \
-                 controllers: submissions will be late",
-                self.cluster.size
-            ));
-        }
-        // A list page, the types and a deletion, now and then, and rentals.
-        if self.cluster.cloud.rps < 1.0 {
-            found.push(format!(
-                "cluster.cloud.rps: with {} calls a second machines are rented late",
-                self.cluster.cloud.rps
-            ));
-        }
-        let (own, all) = (self.public_sockets(), self.cluster.quota.fd_limit as usize);
-        if own * 2 < all {
-            found.push(format!(
-                "cluster.quota.fd_limit: of {all} sockets {own} are left for users and workers, \
-                 and each machine takes one of its leader"
-            ));
-        }
-        let workers = &self.cluster.workers;
-        if self.renewal_limit() < self.leader_lease() {
-            found.push(format!(
-                "cluster.workers.cancel_s: with a lease of {} s, {} s leave a leader that is cut off \
-                 no time to learn of cancellations: some may be stopped late",
-                workers.lease_s, workers.cancel_s
-            ));
-        }
-        if self.members.len() + 1 != self.cluster.size as usize {
-            found.push(format!(
-                "members: {} others are listed for {} controllers",
-                self.members.len(),
-                self.cluster.size
-            ));
-        }
-        if !self.cluster.zones.contains(&Arc::from(self.zone.as_str())) {
-            found.push("zone: not among cluster.zones".into());
-        }
-        found
-    }
-
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.cluster.teams.iter().find(|t| &*t.name == name)
     }
@@ -492,6 +308,29 @@
         self.cluster.state.effective()
     }
 
+    /// Cancellations that one heartbeat can tell. Each takes a change of the
+    /// state service, so its rate bounds what a leader can miss.
+    pub fn noticed_cancellations(&self) -> usize {
+        let state = &self.cluster.state;
+        // Which of both limits is in force isn't known.
+        let rate = state.write_rps.max(state.next.write_rps.unwrap_or(0.0));
+        let missed = rate * self.leader_lease().as_secs_f64() * NOTICED_LEASES;
+        (missed.round() as usize).max(LEAST_NOTICED_CANCELLATIONS)
+    }
+
+    /// The longest frame that another controller may send to this one.
+    pub fn frame_limit(&self) -> usize {
+        crate::peers::frame_limit_for(self.noticed_cancellations())
+    }
+
+    /// Connections that may wait to be accepted. After a change of leader all
+    /// workers may come within one report interval, and a connection that finds
+    /// no room tries again only a second later.
+    pub fn listen_backlog(&self) -> u32 {
+        let sockets = u32::try_from(self.public_sockets()).unwrap_or(u32::MAX);
+        sockets.max(LEAST_BACKLOG)
+    }
+
     /// Tasks per durable page, such that a page full of bindings fits a value
     /// of today's limit. It must not follow `state.next`: versions that don't
     /// know that setting share the pages, and which tasks a page holds follows
--- /dev/null
+++ b/src/settings/limits.rs
@@ -0,0 +1,89 @@
+//! Limits of the state service: today's, and those that come into force later.
+
+use serde::Deserialize;
+
+/// The state service takes so many conditions for each write that a
+/// transaction may have.
+const CONDITIONS_PER_WRITE: usize = 4;
+/// A job's end and the removal of its records must fit one transaction.
+pub(super) const LEAST_TRANSACTION_WRITES: usize = 4;
+/// A submission with names of usual length must fit one value.
+const LEAST_VALUE_KB: f64 = 0.5;
+pub(super) const BYTES_PER_KB: f64 = 1024.0;
+
+/// The limits of the state service, and those that it may have later on.
+#[derive(Clone, Debug, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+    /// Limits that come into force at an unannounced moment.
+    #[serde(default)]
+    pub next: NextStateLimits,
+}
+
+/// Limits that the state service will have later; absent ones stay as they are.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct NextStateLimits {
+    pub rps: Option<f64>,
+    pub write_rps: Option<f64>,
+    pub value_kb: Option<f64>,
+    pub txn_ops: Option<usize>,
+}
+
+/// What may be asked of the state service now and later: of each limit the
+/// smaller of the present and the coming one.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EffectiveLimits {
+    /// Requests a second.
+    pub requests_per_s: f64,
+    /// Puts and deletes a second.
+    pub writes_per_s: f64,
+    /// Bytes of one value.
+    pub value_bytes: usize,
+    /// Puts and deletes of one transaction.
+    pub transaction_writes: usize,
+}
+
+impl EffectiveLimits {
+    /// The most conditions that one transaction may have.
+    pub fn transaction_conditions(&self) -> usize {
+        self.transaction_writes * CONDITIONS_PER_WRITE
+    }
+}
+
+impl NextStateLimits {
+    pub(super) fn check(&self) -> Result<(), (&'static str, &'static str)> {
+        let rates = [
+            ("cluster.state.next.rps", self.rps),
+            ("cluster.state.next.write_rps", self.write_rps),
+        ];
+        for (field, rate) in rates {
+            if rate.is_some_and(|rate| !rate.is_finite() || rate <= 0.0) {
+                return Err((field, "must be more than 0"));
+            }
+        }
+        if self.value_kb.is_some_and(|kb| !kb.is_finite() || kb < LEAST_VALUE_KB) {
+            return Err(("cluster.state.next.value_kb", "must be at least 0.5"));
+        }
+        if self.txn_ops.is_some_and(|writes| writes < LEAST_TRANSACTION_WRITES) {
+            return Err(("cluster.state.next.txn_ops", "must be at least 4"));
+        }
+        Ok(())
+    }
+}
+
+impl StateLimits {
+    /// The limits that hold at any time, whenever the coming ones begin.
+    pub fn effective(&self) -> EffectiveLimits {
+        let next = &self.next;
+        let value_kb = self.value_kb.min(next.value_kb.unwrap_or(f64::INFINITY));
+        EffectiveLimits {
+            requests_per_s: self.rps.min(next.rps.unwrap_or(f64::INFINITY)),
+            writes_per_s: self.write_rps.min(next.write_rps.unwrap_or(f64::INFINITY)),
+            value_bytes: (value_kb * BYTES_PER_KB) as usize,
+            transaction_writes: self.txn_ops.min(next.txn_ops.unwrap_or(usize::MAX)),
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/operator.rs
@@ -0,0 +1,72 @@
+//! The operators' own settings (INI).
+
+use super::SettingsError;
+
+/// What operators may set for themselves, with the project's defaults.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Operator {
+    /// Seconds between two rounds of the autoscaler (the design's Δ).
+    pub round_s: f64,
+    /// A running width changes only for at least this share more in total.
+    pub resize_gain: f64,
+    /// A gang's factor at width k is k / (1 + slope (k - 1)).
+    pub gang_slope: f64,
+    /// Idle machines are returned after this share of their type's boot time.
+    pub idle_boots: f64,
+    /// Empty machines kept ready, as a share of the root of the load of
+    /// classes with an aim on waiting.
+    pub headroom: f64,
+    /// Machines that the fleet may have, or 0 if nobody has said. Nothing is
+    /// refused beyond it: it serves to check the other settings.
+    pub expected_machines: f64,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Self {
+            round_s: 4.0,
+            resize_gain: 0.05,
+            gang_slope: 0.1,
+            idle_boots: 0.25,
+            headroom: 0.4,
+            expected_machines: 0.0,
+        }
+    }
+}
+
+impl Operator {
+    /// Reads the INI file; unknown sections and keys are mistakes here, since
+    /// an operator who mistypes a key would otherwise never learn of it.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let error = |field: &str, reason: &str| SettingsError {
+            file: file.into(),
+            field: field.into(),
+            reason: reason.into(),
+        };
+        let ini = ini::Ini::load_from_str(text).map_err(|e| error("syntax", &e.to_string()))?;
+        let mut operator = Self::default();
+        for (section, keys) in ini.iter() {
+            for (key, value) in keys.iter() {
+                let field = format!("{}.{key}", section.unwrap_or(""));
+                let slot = match field.as_str() {
+                    "scheduler.round_s" => &mut operator.round_s,
+                    "scheduler.resize_gain" => &mut operator.resize_gain,
+                    "scheduler.gang_slope" => &mut operator.gang_slope,
+                    "fleet.idle_boots" => &mut operator.idle_boots,
+                    "fleet.headroom" => &mut operator.headroom,
+                    "fleet.expected_machines" => &mut operator.expected_machines,
+                    _ => return Err(error(&field, "unknown key")),
+                };
+                *slot = value
+                    .parse::<f64>()
+                    .ok()
+                    .filter(|v| v.is_finite() && *v >= 0.0)
+                    .ok_or_else(|| error(&field, "must be a number of at least 0"))?;
+            }
+        }
+        if operator.round_s <= 0.0 {
+            return Err(error("scheduler.round_s", "must be more than 0"));
+        }
+        Ok(operator)
+    }
+}
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -92,6 +92,58 @@
     assert!(warn("fd_limit = 600", "fd_limit = 64").starts_with("cluster.quota.fd_limit"));
 }
 
+#[test]
+fn what_falls_short_for_a_large_fleet_is_named() {
+    let warnings = |machines: &str, changes: &[(&str, &str)]| {
+        let text = changes
+            .iter()
+            .fold(GOOD.replacen("size = 3", "size = 1", 1), |text, (a, b)| text.replacen(a, b, 1));
+        let mut settings = Settings::parse("f", &text).expect("valid");
+        let operator = format!("[fleet]\nexpected_machines = {machines}\n");
+        settings.operator = Operator::parse("o", &operator).expect("valid");
+        settings.warnings()
+    };
+    assert_eq!(warnings("0", &[]), Vec::<String>::new(), "nobody said how many");
+    let short = warnings("4000", &[("write_rps = 60.0", "write_rps = 40.0")]);
+    let fields = [
+        "cluster.quota.fd_limit",
+        "cluster.quota.mem_mb",
+        "cluster.quota.core_share",
+        "cluster.state.write_rps",
+    ];
+    assert_eq!(short.len(), fields.len(), "{short:?}");
+    for (warning, field) in short.iter().zip(fields) {
+        assert!(warning.starts_with(field), "{warning}");
+    }
+    // What docs/operations.md names for such a fleet.
+    let enough = [
+        ("fd_limit = 600", "fd_limit = 9000"),
+        ("mem_mb = 40.0", "mem_mb = 128.0"),
+        ("core_share = 0.08", "core_share = 0.6"),
+        ("write_rps = 60.0", "write_rps = 240.0"),
+        ("\nrps = 150.0", "\nrps = 600.0"),
+    ];
+    assert_eq!(warnings("4000", &enough), Vec::<String>::new());
+    let slow_cloud = warnings("40000", &[("\nrps = 8.0", "\nrps = 1.0")]);
+    assert!(slow_cloud.iter().any(|w| w.starts_with("cluster.cloud.rps")), "{slow_cloud:?}");
+}
+
+#[test]
+fn what_heartbeats_and_listeners_hold_grows_with_the_settings() {
+    let settings =
+        |from: &str, to: &str| Settings::parse("f", &GOOD.replacen(from, to, 1)).expect("valid");
+    let usual = settings("", "");
+    assert_eq!(usual.noticed_cancellations(), LEAST_NOTICED_CANCELLATIONS);
+    assert_eq!(usual.frame_limit(), crate::peers::LEAST_FRAME_LIMIT);
+    assert_eq!(usual.listen_backlog(), LEAST_BACKLOG);
+    let fast = settings("write_rps = 60.0", "write_rps = 600.0");
+    // Two leader leases of 11 / 3 s, which others may use for cancellations alone.
+    assert_eq!(fast.noticed_cancellations(), 4400);
+    assert!(crate::peers::noticed_cancellations_of(fast.frame_limit()) >= 4400);
+    let large = settings("fd_limit = 600", "fd_limit = 9000");
+    assert!(large.listen_backlog() > 4000, "{}", large.listen_backlog());
+}
+
 #[test]
 fn zero_means_no_guarantee() {
     let team = Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 };
--- a/src/store.rs
+++ b/src/store.rs
@@ -211,6 +211,11 @@
 }
 
 impl Picture {
+    /// An empty picture, for heartbeats that tell up to so many cancellations.
+    pub fn noticing(cancellations: usize) -> Self {
+        Self { cancelled: RecentCancellations::noticing(cancellations), ..Self::default() }
+    }
+
     /// Jobs that were cancelled after `revision`, the first `most` of them, and
     /// whether these are all.
     pub fn cancelled_since(&self, revision: u64, most: usize) -> (Vec<(String, u64, u32)>, bool) {
--- a/src/store/recent_cancellations.rs
+++ b/src/store/recent_cancellations.rs
@@ -6,22 +6,34 @@
 
 use std::collections::BTreeSet;
 
-use crate::protocol::JobId;
+use crate::{protocol::JobId, settings::LEAST_NOTICED_CANCELLATIONS};
 
-/// Cancellations that are held; no less than what one heartbeat carries.
-const MOST_HELD: usize = 4 * crate::node::MOST_NOTICED_CANCELLATIONS;
+/// Cancellations that are held for each one that a heartbeat carries.
+const HELD_PARTS: usize = 4;
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RecentCancellations {
     held: BTreeSet<(u64, JobId)>,
+    most: usize,
     /// The latest revision of those that are not held any more.
     dropped: u64,
 }
 
+impl Default for RecentCancellations {
+    fn default() -> Self {
+        Self::noticing(LEAST_NOTICED_CANCELLATIONS)
+    }
+}
+
 impl RecentCancellations {
+    /// Holds what heartbeats need that carry up to `noticed` cancellations.
+    pub fn noticing(noticed: usize) -> Self {
+        Self { held: BTreeSet::new(), most: noticed * HELD_PARTS, dropped: 0 }
+    }
+
     pub fn insert(&mut self, revision: u64, id: JobId) {
         self.held.insert((revision, id));
-        while self.held.len() > MOST_HELD {
+        while self.held.len() > self.most {
             if let Some((oldest, _)) = self.held.pop_first() {
                 self.dropped = self.dropped.max(oldest);
             }
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -316,7 +316,7 @@
     assert_eq!((jobs.as_slice(), all), (latest.as_slice(), true));
     let (jobs, all) = picture.cancelled_since(10, usize::MAX);
     assert!(!all, "what was cancelled right after revision 10 is not among them");
-    assert!(jobs.len() >= crate::node::MOST_NOTICED_CANCELLATIONS);
+    assert!(jobs.len() >= crate::settings::LEAST_NOTICED_CANCELLATIONS);
     // Read once more, in the order of keys.
     let mut read = Picture::default();
     for revision in (1..=many).rev() {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -88,6 +88,17 @@
     Settings::parse("test.toml", &SETTINGS.replace("m-0", member)).expect("valid settings")
 }
 
+/// What a fleet of so many times the usual size needs, see `docs/operations.md`.
+pub fn scale_settings(settings: &mut Settings, scale: f64) {
+    let cluster = &mut settings.cluster;
+    cluster.state.rps *= scale;
+    cluster.state.write_rps *= scale;
+    cluster.cloud.rps *= scale;
+    cluster.quota.core_share *= scale;
+    cluster.quota.mem_mb *= scale;
+    cluster.quota.fd_limit = (f64::from(cluster.quota.fd_limit) * scale) as u32;
+}
+
 pub fn machine_type() -> MachineType {
     MachineType {
         name: "g8".into(),
@@ -612,8 +623,10 @@
     frozen: HashMap<usize, Instant>,
     /// Holds what workers run against the records.
     checker: Checker,
-    /// How many machines are to be up from the start in the second zone.
+    /// Whether every second machine that is up from the start is in the second zone.
     spread: bool,
+    /// How many times the usual settings' rates and sockets there are, if not once.
+    scale: Option<f64>,
 }
 
 /// A whole deployment in memory.
@@ -712,6 +725,14 @@
         world.begin(machines).await
     }
 
+    /// The same with rates and sockets for a fleet of `scale` times the usual size.
+    pub async fn in_two_zones_scaled(machines: u32, scale: f64) -> Self {
+        let world = Self::default();
+        lock(&world.site).spread = true;
+        lock(&world.site).scale = Some(scale);
+        world.begin(machines).await
+    }
+
     async fn begin(self, machines: u32) -> Self {
         let world = self;
         {
@@ -833,6 +854,9 @@
         let coming = lock(&self.site).coming_limits;
         let mut settings =
             if coming { settings_with_coming_limits(&name) } else { settings(&name) };
+        if let Some(scale) = lock(&self.site).scale {
+            scale_settings(&mut settings, scale);
+        }
         let sockets = Arc::new(Semaphore::new(settings.direct_calls()));
         let workers = Arc::new(MemWorkers { world: self.clone(), at, sockets });
         // Machines stay long enough for a story to end.
@@ -865,7 +889,8 @@
                         && !cut
                     {
                         // As over the wire.
-                        let frame = peers::encode(sender.heartbeat(&format!("m-{to}")));
+                        let heartbeat = sender.heartbeat(&format!("m-{to}"));
+                        let frame = peers::encode(heartbeat, sender.settings.frame_limit());
                         let mut message = peers::decode(&frame).expect("a heartbeat");
                         if self.is_of_the_version_before(from) {
                             message.features = Features::default();
--- a/tests/cost.rs
+++ b/tests/cost.rs
@@ -11,29 +11,69 @@
 use stonewheel::protocol::JobState;
 use tokio::time::{Instant, sleep};
 
-#[tokio::test(start_paused = true)]
-async fn reports_that_change_nothing_do_not_turn_the_leaders_loop() {
-    const MACHINES: u64 = 200;
-    const SECONDS: u64 = 20;
-    let world = World::new(0).await;
-    for _ in 0..MACHINES {
+const QUIET_SECONDS: u64 = 20;
+
+/// What a leader does within `QUIET_SECONDS` in which nothing happens.
+struct QuietCost {
+    reports: u64,
+    reviewed: u64,
+    ticks: u64,
+    weighed: u64,
+    /// Changes of the records.
+    writes: u64,
+}
+
+async fn quiet_cost(machines: u64, replicas: u32, scale: f64) -> QuietCost {
+    let world = World::in_two_zones_scaled(0, scale).await;
+    for _ in 0..machines {
         // So that they don't all report at the same instant.
-        sleep(Duration::from_millis(5)).await;
+        sleep(Duration::from_secs(1) / u32::try_from(machines).expect("a few")).await;
         world.add_machine("a");
     }
-    world.submit(0, "j-000001", json!({"Shape": "service", "Spokes": 40})).await.expect("accepted");
+    let service = json!({"Shape": "service", "Spokes": replicas});
+    world.submit(0, "j-000001", service).await.expect("accepted");
     seconds(30).await;
     let leader = world.leader().expect("a leader");
     let effort = || world.node(leader).leader_effort().expect("it leads");
-    let before = effort();
-    seconds(SECONDS).await;
+    let revision = || world.node(leader).picture.lock().expect("not poisoned").revision;
+    let (before, began) = (effort(), revision());
+    seconds(QUIET_SECONDS).await;
     let after = effort();
-    assert!(after.reports - before.reports > MACHINES * SECONDS / 2, "all machines report");
+    no_rule_broken(&world);
+    QuietCost {
+        reports: after.reports - before.reports,
+        reviewed: after.reviewed - before.reviewed,
+        ticks: after.ticks - before.ticks,
+        weighed: after.weighed - before.weighed,
+        writes: revision() - began,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn reports_that_change_nothing_do_not_turn_the_leaders_loop() {
+    const MACHINES: u64 = 200;
+    let cost = quiet_cost(MACHINES, 40, 1.0).await;
+    assert!(cost.reports > MACHINES * QUIET_SECONDS / 2, "all machines report");
     // Eight sweeps in each report interval, and what the cloud's lists and
     // rounds bring; it was a turn for nearly every report.
-    let ticks = after.ticks - before.ticks;
-    assert!(ticks <= 12 * SECONDS, "{ticks} ticks");
-    no_rule_broken(&world);
+    assert!(cost.ticks <= 12 * QUIET_SECONDS, "{} ticks", cost.ticks);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_quiet_fleet_of_four_thousand_machines_costs_its_reports_and_little_else() {
+    const MACHINES: u64 = 4000;
+    const REPLICAS: u32 = 8000;
+    let cost = quiet_cost(MACHINES, REPLICAS, 15.0).await;
+    assert!(cost.reports > MACHINES * QUIET_SECONDS / 2, "all machines report");
+    assert!(cost.reports <= MACHINES * QUIET_SECONDS * 11 / 10, "{} reports", cost.reports);
+    // Each report is held against the tasks of its own machine alone: those that
+    // it names and those that are bound to it.
+    let tasks = u64::from(REPLICAS) * QUIET_SECONDS * 11 / 10;
+    assert!(cost.reviewed <= 2 * tasks, "{} tasks reviewed", cost.reviewed);
+    // No more turns than a fleet of 200 takes, no place weighed, nothing written.
+    assert!(cost.ticks <= 12 * QUIET_SECONDS, "{} ticks", cost.ticks);
+    assert_eq!(cost.weighed, 0, "places weighed");
+    assert_eq!(cost.writes, 0, "changes of the records");
 }
 
 #[tokio::test(start_paused = true)]
--- a/tests/production_size.rs
+++ b/tests/production_size.rs
@@ -1,8 +1,9 @@
-//! A thousand machines and ten thousand short tasks in pipelines, with seeded
-//! faults of many kinds at once. What workers run is judged by `invariants`.
+//! A thousand machines and ten thousand short tasks in pipelines, and four thousand
+//! with four times as many, with seeded faults of many kinds at once. What workers
+//! run is judged by `invariants`.
 //!
 //! `PRODUCTION_SIZE_SEED=7 cargo test --test production_size -- --ignored` plays
-//! one seed, and without the variable many of them.
+//! one seed of either size, and without the variable many of them.
 
 #[allow(dead_code)] // Each test file uses its own part.
 mod common;
@@ -22,8 +23,17 @@
 };
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-const MACHINES: u32 = 1000;
-const PIPELINES: u32 = 45;
+/// How much is played, and with what.
+#[derive(Clone, Copy)]
+struct Size {
+    machines: u32,
+    pipelines: u32,
+    /// How many times the usual settings' rates and sockets there are.
+    scale: f64,
+}
+
+const THOUSAND: Size = Size { machines: 1000, pipelines: 45, scale: 1.0 };
+const FOUR_THOUSAND: Size = Size { machines: 4000, pipelines: 180, scale: 4.0 };
 /// Submissions and faults are spread over this time.
 const BUSY_S: f64 = 90.0;
 /// By then every job has to be over.
@@ -46,14 +56,14 @@
 }
 
 /// Pipelines of four stages: two arrays, a gang, and a short array at the end.
-fn plan(rng: &mut StdRng) -> Vec<Planned> {
+fn plan(rng: &mut StdRng, pipelines: u32) -> Vec<Planned> {
     let mut jobs: Vec<Planned> = Vec::new();
-    let mut numbers: Vec<u32> = (1..=PIPELINES * 4).collect();
+    let mut numbers: Vec<u32> = (1..=pipelines * 4).collect();
     // Ids come in no order.
     for at in (1..numbers.len()).rev() {
         numbers.swap(at, rng.random_range(0..=at));
     }
-    for pipeline in 0..PIPELINES {
+    for pipeline in 0..pipelines {
         let start_s = rng.random_range(0.0..BUSY_S * 0.6);
         let cancelled = rng.random_bool(0.3).then(|| rng.random_range(0..4_usize));
         let mut needs: Vec<String> = Vec::new();
@@ -241,10 +251,10 @@
 }
 
 /// Plays one seed and tells what broke.
-async fn broken_by(seed: u64) -> Vec<String> {
-    let world = World::in_two_zones(MACHINES).await;
+async fn broken_by(seed: u64, size: Size) -> Vec<String> {
+    let world = World::in_two_zones_scaled(size.machines, size.scale).await;
     let mut rng = StdRng::seed_from_u64(seed);
-    let jobs = plan(&mut rng);
+    let jobs = plan(&mut rng, size.pipelines);
     let ids: Vec<String> = jobs.iter().map(|job| job.id.clone()).collect();
     let needs = jobs.iter().map(|job| (job.id.clone(), job.needs.clone())).collect();
     let begin = Instant::now();
@@ -269,7 +279,8 @@
         *kinds.entry(what.split(':').next().unwrap_or_default()).or_default() += 1;
     }
     println!(
-        "seed {seed}: {} starts, {} watches passed, broken: {kinds:?}, {:.0} s",
+        "seed {seed}, {} machines: {} starts, {} watches passed, broken: {kinds:?}, {:.0} s",
+        size.machines,
         world.starts(),
         world.state.too_old(),
         begin.elapsed().as_secs_f64()
@@ -277,20 +288,25 @@
     broken
 }
 
-async fn keeps_the_rules(seed: u64) {
-    let broken = broken_by(seed).await;
+async fn keeps_the_rules(seed: u64, size: Size) {
+    let broken = broken_by(seed, size).await;
     let first: Vec<&String> = broken.iter().take(12).collect();
     assert!(broken.is_empty(), "seed {seed}: {} broken, first {first:#?}", broken.len());
 }
 
 #[tokio::test(start_paused = true)]
 async fn short_tasks_keep_the_rules_under_faults_seed_1() {
-    keeps_the_rules(1).await;
+    keeps_the_rules(1, THOUSAND).await;
 }
 
 #[tokio::test(start_paused = true)]
 async fn short_tasks_keep_the_rules_under_faults_seed_2() {
-    keeps_the_rules(2).await;
+    keeps_the_rules(2, THOUSAND).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn four_thousand_machines_keep_the_rules_under_faults_seed_1() {
+    keeps_the_rules(1, FOUR_THOUSAND).await;
 }
 
 #[tokio::test(start_paused = true)]
@@ -299,6 +315,7 @@
     let one = std::env::var("PRODUCTION_SIZE_SEED").ok().and_then(|seed| seed.parse().ok());
     let seeds = one.map_or(3..=12, |seed| seed..=seed);
     for seed in seeds {
-        keeps_the_rules(seed).await;
+        keeps_the_rules(seed, THOUSAND).await;
+        keeps_the_rules(seed, FOUR_THOUSAND).await;
     }
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -42,6 +42,23 @@
     sleep(Duration::from_secs(n)).await;
 }
 
+/// All workers of a large fleet may come within one report interval after a change
+/// of leader. A connection beyond the backlog would try again a second later.
+#[tokio::test]
+async fn a_listener_has_room_for_more_waiting_connections_than_the_usual_backlog() {
+    const WAITING: usize = 1500;
+    let any_port = "127.0.0.1:0".parse().expect("an address");
+    let listener = stonewheel::http::listen(any_port, 2 * WAITING as u32).expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let mut waiting = Vec::new();
+    for number in 0..WAITING {
+        let connection = tokio::net::TcpStream::connect(address);
+        let connected = tokio::time::timeout(Duration::from_millis(900), connection).await;
+        let connected = connected.unwrap_or_else(|_| panic!("connection {number} hangs"));
+        waiting.push(connected.expect("connected"));
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_array_runs_to_its_end_and_leaves_one_small_record() {
     let world = World::new(1).await;
@@ -537,7 +554,7 @@
     }
     let mut heartbeat = world.node(1).heartbeat("m-0");
     heartbeat.member = "m-9".into();
-    let frame = peers::encode(heartbeat);
+    let frame = peers::encode(heartbeat, peers::LEAST_FRAME_LIMIT);
     let mut link = TcpStream::connect(address).await.expect("the system takes it");
     link.write_all(&(frame.len() as u32).to_be_bytes()).await.expect("sent");
     link.write_all(&frame).await.expect("sent");
