A workspace: wire, HTTP client, state service and stand-ins in packages of their own

Need: what comes next (scale to zero, rollout, operations) are packages that must not depend on the root one, and share its state client and its stand-in of the state service.

Change: src/protocol, http/client and state become crates/stonewheel-protocol, -http-client and -state; the in-memory state service and the seeded faults leave tests/common for crates/stonewheel-standins. The writer takes its limits instead of the whole settings. No change of behaviour; all tests are the same.

--- /dev/null
+++ b/crates/stonewheel-activation/src/lib.rs
@@ -0,0 +1,1 @@
+//! Scale to zero.
--- a/src/http/client.rs
+++ b/crates/stonewheel-http-client/src/lib.rs
@@ -1,4 +1,5 @@
-//! The pooled HTTP client that the state service and the cloud are called with.
+//! The pooled HTTP client that the state service, the cloud and workers are called
+//! with.
 
 use std::{net::SocketAddr, time::Duration};
 
--- a/src/state/budget.rs
+++ b/crates/stonewheel-state/src/budget.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use super::lock;
+use crate::lock;
 
 /// A token bucket that holds one second's worth, as the service's own does.
 ///
@@ -91,7 +91,7 @@
     }
 
     /// Whole tokens held beyond a reserve.
-    pub(super) fn spare(&self, reserve: Reserve) -> usize {
+    pub(crate) fn spare(&self, reserve: Reserve) -> usize {
         let level = lock(&self.level);
         let capacity = level.capacity();
         (level.held_now(capacity) - capacity * reserve.share()).max(0.0) as usize
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,9 +1,10 @@
 //! HTTP, both sides: warp routes for users and workers, and the client.
 
 mod body;
-pub mod client;
 pub mod server;
 
+pub use stonewheel_http_client as client;
+
 use std::{io, net::SocketAddr, time::Duration};
 
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,8 +15,9 @@
 pub mod lease_renewal;
 pub mod node;
 pub mod peers;
-pub mod protocol;
 pub mod scheduler;
 pub mod settings;
 pub mod state;
 pub mod store;
+
+pub use stonewheel_protocol as protocol;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,9 +3,7 @@
 use std::{path::PathBuf, process::ExitCode, sync::Arc};
 
 use clap::Parser;
-use stonewheel::{
-    cloud::HttpCloud, fleet::HttpWorkers, node::Node, settings::Settings, state::HttpState,
-};
+use stonewheel::{cloud::HttpCloud, fleet::HttpWorkers, node::Node, settings::Settings, state};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tracing::level_filters::LevelFilter;
@@ -63,7 +61,7 @@
         let public = stonewheel::http::listen(settings.public_addr, settings.listen_backlog())?;
         let internal = TcpListener::bind(settings.internal_addr).await?;
         tracing::info!(member = %settings.member, zone = %settings.zone, "starting");
-        let state = Arc::new(HttpState::new(&settings));
+        let state = Arc::new(state::http_state(&settings));
         let cloud = Arc::new(HttpCloud::new(&settings));
         let seed = rand::random();
         let workers = Arc::new(HttpWorkers::new(&settings));
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -38,7 +38,7 @@
     peers::Peers,
     protocol::{JobId, JobStatus, MachineId, Order},
     settings::Settings,
-    state::{Budget, StateApi, Writer, lock},
+    state::{self, Budget, StateApi, Writer, lock},
     store::{Lead, Picture},
 };
 
@@ -129,7 +129,7 @@
         let settings = Arc::new(settings);
         let requests =
             Arc::new(Budget::new(settings.share(settings.state_limits().requests_per_s, false)));
-        let writer = Arc::new(Writer::new(state.clone(), &settings, requests.clone()));
+        let writer = Arc::new(state::writer(state.clone(), &settings, requests.clone()));
         // Users wait a second at ease; half of a report interval is a ratio
         // to how time runs here.
         let target = settings.report() / 2;
--- a/tests/production_size.rs
+++ b/tests/production_size.rs
@@ -10,17 +10,14 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use common::{
-    World,
-    faults::{LateCommands, LateTransactions},
-    state,
-};
+use common::{LateCommands, World, state};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde_json::json;
 use stonewheel::{
     node::UserReply,
     protocol::{JobState, Report},
 };
+use stonewheel_standins::LateTransactions;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// How much is played, and with what.
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -10,7 +10,7 @@
 use serde_json::{json, value::RawValue};
 use stonewheel::{
     protocol::{JobSpec, JobState, Write},
-    state::{Budget, StateError, Writer},
+    state::{Budget, StateError},
     store::{self, End, Lead, Page, Picture},
 };
 use tokio::time::sleep;
@@ -114,7 +114,7 @@
     let state = common::MemState::default();
     let settings = common::settings("m-0");
     let requests = Arc::new(Budget::new(100.0));
-    let writer = Arc::new(Writer::new(state.client("m-0"), &settings, requests));
+    let writer = Arc::new(stonewheel::state::writer(state.client("m-0"), &settings, requests));
     state.lower_limits(100, 8);
     let put = |key: &str, length: usize| Write::Put {
         key: key.into(),
