Activation: record, pure planner, activator, request holder, gateway; explored and told in stories

Change: crates/stonewheel-activation. Every change of a model's record is conditioned on its version and on the writer's session; a job is named durably before it is started; a model drains only while no controller has a use marker. HTTP connections move into crates/stonewheel-http-server, shared by both listeners. The writer sends a change whose lease has ended alone, so that it takes no other with it, and the in-memory state service refuses such a lease as the protocol says.

Not connected yet.

--- /dev/null
+++ b/crates/stonewheel-activation/src/planner.rs
@@ -0,0 +1,294 @@
+//! What a controller does next for a model: a pure function of what it knows.
+//!
+//! It has no clock and does no I/O. Each controller asks it again after every change
+//! and every result, so a controller that dies at any point leaves nothing but the
+//! record, and whoever adopts the activation goes on from there.
+//!
+//! Safety rests on three conditions of the writes, not on timing:
+//! - every write names the version of the record that it was decided on, and of the
+//!   writer's own session: whoever was replaced, or lost its lease, is refused;
+//! - a job is named by the record before it is asked for, and its start is
+//!   conditioned on that version of the record;
+//! - a model begins to drain only while no use marker exists, and a use marker is
+//!   written only while the model is ready.
+
+use crate::record::{Activation, ActivationRecord, AfterStop, ModelState, Owner, Stage};
+
+/// What the replicas were seen to do, by the owner and in this attempt.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub enum Observed {
+    /// Nobody looked yet.
+    #[default]
+    Unknown,
+    /// None answers yet.
+    Pending,
+    /// These answer.
+    Ready(Vec<String>),
+    /// They are gone, and won't come back by themselves.
+    Gone,
+}
+
+/// What became of the request to start the replicas.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub enum Requested {
+    /// Not asked for, or without an answer.
+    #[default]
+    No,
+    /// They are being started.
+    Yes,
+    /// The job's id belongs to somebody else: another one is needed.
+    NameTaken,
+    /// They can never be started.
+    Rejected(String),
+}
+
+/// Which waits are over.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Timers {
+    /// The pause before this attempt.
+    pub backoff: bool,
+    /// The time that a start may take.
+    pub start: bool,
+    /// The time after which no controller can still have a request at a draining
+    /// model.
+    pub drain: bool,
+    /// The least time awake.
+    pub awake: bool,
+    /// The time for which a failed model refuses requests.
+    pub failed: bool,
+    /// The pause between two looks at the replicas.
+    pub look: bool,
+    /// The time that this controller leaves to others before it adopts an
+    /// activation whose owner is gone.
+    pub adoption: bool,
+}
+
+/// What a controller knows of a model.
+#[derive(Clone, Copy, Debug)]
+pub struct Facts<'a> {
+    /// This process.
+    pub me: &'a Owner,
+    /// The model's record, as last read.
+    pub record: &'a ActivationRecord,
+    /// This process surely holds its session.
+    pub session_valid: bool,
+    /// The session of the record's owner exists.
+    pub owner_alive: bool,
+    /// Requests are held here.
+    pub wanted: bool,
+    /// This process has a use marker.
+    pub marked: bool,
+    /// No request came or was under way here for the model's idle time.
+    pub idle_here: bool,
+    /// Some controller has a use marker.
+    pub used: bool,
+    /// What became of the start, if this process is the owner.
+    pub requested: &'a Requested,
+    /// What was last seen of the replicas, if this process is the owner.
+    pub observed: &'a Observed,
+    /// The replicas were stopped, if this process is the owner.
+    pub stopped: bool,
+    /// Which waits are over.
+    pub timers: Timers,
+    /// Attempts of one generation.
+    pub attempts: u32,
+    /// An id for a new job, if one is needed.
+    pub new_job: &'a str,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Step {
+    /// Nothing until something changes or a wait is over.
+    Wait,
+    /// Replace the record.
+    Write {
+        /// The new record.
+        record: ActivationRecord,
+        /// Only while no controller has a use marker.
+        unless_used: bool,
+    },
+    /// Write this process's use marker.
+    MarkUse,
+    /// Delete it.
+    DropUse,
+    /// Ask for the replicas.
+    Start,
+    /// Look at the replicas.
+    Look,
+    /// Stop the replicas.
+    Stop,
+}
+
+/// What to do next. Without a session a controller does nothing at all.
+pub fn decide(facts: &Facts<'_>) -> Step {
+    if !facts.session_valid {
+        return Step::Wait;
+    }
+    if let Some(step) = use_marker(facts) {
+        return step;
+    }
+    match &facts.record.state {
+        ModelState::Asleep if facts.wanted => wake(facts),
+        ModelState::Failed { .. } if facts.wanted && facts.timers.failed => wake(facts),
+        ModelState::Asleep | ModelState::Failed { .. } => Step::Wait,
+        ModelState::Active(activation) if activation.owner == *facts.me => drive(facts, activation),
+        ModelState::Active(activation) => follow(facts, activation),
+    }
+}
+
+/// Requests pass only while this process's use marker stands, and the marker goes
+/// once they have ceased.
+fn use_marker(facts: &Facts<'_>) -> Option<Step> {
+    let ready = facts.record.ready_endpoints().is_some();
+    if ready && facts.wanted && !facts.marked {
+        return Some(Step::MarkUse);
+    }
+    (facts.marked && facts.idle_here && !facts.wanted).then_some(Step::DropUse)
+}
+
+/// The next generation, owned by this process.
+fn wake(facts: &Facts<'_>) -> Step {
+    write(ActivationRecord {
+        generation: facts.record.generation + 1,
+        epoch: facts.record.epoch + 1,
+        state: ModelState::Active(Activation {
+            owner: facts.me.clone(),
+            attempt: 1,
+            job: facts.new_job.to_owned(),
+            stage: Stage::Starting,
+        }),
+    })
+}
+
+/// Another process owns the activation.
+fn follow(facts: &Facts<'_>, activation: &Activation) -> Step {
+    if let Stage::Draining { endpoints } = &activation.stage
+        && facts.wanted
+    {
+        return call_back(facts, activation, endpoints);
+    }
+    if facts.owner_alive || !facts.timers.adoption {
+        return Step::Wait;
+    }
+    // What the former owner set off is found again by the job's id.
+    let adopted = Activation { owner: facts.me.clone(), ..activation.clone() };
+    write(ActivationRecord {
+        epoch: facts.record.epoch + 1,
+        state: ModelState::Active(adopted),
+        ..facts.record.clone()
+    })
+}
+
+/// This process owns the activation.
+fn drive(facts: &Facts<'_>, activation: &Activation) -> Step {
+    match &activation.stage {
+        Stage::Starting => start(facts, activation),
+        Stage::Ready { endpoints } => keep(facts, activation, endpoints),
+        Stage::Draining { endpoints } if facts.wanted => call_back(facts, activation, endpoints),
+        Stage::Draining { .. } if facts.timers.drain => {
+            stage(facts, activation, Stage::Stopping { then: AfterStop::Sleep })
+        }
+        Stage::Draining { .. } => Step::Wait,
+        Stage::Stopping { then } => stop(facts, activation, *then),
+    }
+}
+
+fn start(facts: &Facts<'_>, activation: &Activation) -> Step {
+    match facts.requested {
+        Requested::No if facts.timers.backoff => return Step::Start,
+        Requested::No => return Step::Wait,
+        Requested::NameTaken => {
+            let renamed = Activation { job: facts.new_job.to_owned(), ..activation.clone() };
+            return active(facts, renamed);
+        }
+        Requested::Rejected(_) => {
+            return stage(facts, activation, Stage::Stopping { then: AfterStop::GiveUp });
+        }
+        Requested::Yes => {}
+    }
+    match facts.observed {
+        Observed::Ready(endpoints) => {
+            stage(facts, activation, Stage::Ready { endpoints: endpoints.clone() })
+        }
+        Observed::Gone => try_again(facts, activation),
+        Observed::Unknown | Observed::Pending if facts.timers.start => try_again(facts, activation),
+        Observed::Unknown | Observed::Pending => look(facts),
+    }
+}
+
+fn keep(facts: &Facts<'_>, activation: &Activation, endpoints: &[String]) -> Step {
+    match facts.observed {
+        Observed::Gone if facts.used || facts.wanted => try_again(facts, activation),
+        Observed::Gone => stage(facts, activation, Stage::Stopping { then: AfterStop::Sleep }),
+        Observed::Ready(seen) if seen != endpoints => {
+            stage(facts, activation, Stage::Ready { endpoints: seen.clone() })
+        }
+        _ if !facts.used && !facts.wanted && facts.timers.awake => Step::Write {
+            record: with_stage(
+                facts,
+                activation,
+                Stage::Draining { endpoints: endpoints.to_vec() },
+            ),
+            unless_used: true,
+        },
+        _ => look(facts),
+    }
+}
+
+fn stop(facts: &Facts<'_>, activation: &Activation, then: AfterStop) -> Step {
+    if !facts.stopped {
+        return Step::Stop;
+    }
+    let state = match then {
+        AfterStop::Sleep => ModelState::Asleep,
+        AfterStop::GiveUp => ModelState::Failed { reason: failure(facts, activation) },
+        AfterStop::Retry => ModelState::Active(Activation {
+            attempt: activation.attempt + 1,
+            job: facts.new_job.to_owned(),
+            stage: Stage::Starting,
+            ..activation.clone()
+        }),
+    };
+    write(ActivationRecord { state, ..facts.record.clone() })
+}
+
+fn failure(facts: &Facts<'_>, activation: &Activation) -> String {
+    match facts.requested {
+        Requested::Rejected(reason) => reason.clone(),
+        _ => format!("no replica stayed up in {} attempts", activation.attempt),
+    }
+}
+
+/// Stops this attempt; another one follows while there are any left.
+fn try_again(facts: &Facts<'_>, activation: &Activation) -> Step {
+    let left = activation.attempt < facts.attempts;
+    let then = if left { AfterStop::Retry } else { AfterStop::GiveUp };
+    stage(facts, activation, Stage::Stopping { then })
+}
+
+/// The replicas of a draining model are still there for whoever asks.
+fn call_back(facts: &Facts<'_>, activation: &Activation, endpoints: &[String]) -> Step {
+    stage(facts, activation, Stage::Ready { endpoints: endpoints.to_vec() })
+}
+
+fn look(facts: &Facts<'_>) -> Step {
+    if facts.timers.look { Step::Look } else { Step::Wait }
+}
+
+fn stage(facts: &Facts<'_>, activation: &Activation, stage: Stage) -> Step {
+    write(with_stage(facts, activation, stage))
+}
+
+fn with_stage(facts: &Facts<'_>, activation: &Activation, stage: Stage) -> ActivationRecord {
+    let state = ModelState::Active(Activation { stage, ..activation.clone() });
+    ActivationRecord { state, ..facts.record.clone() }
+}
+
+fn active(facts: &Facts<'_>, activation: Activation) -> Step {
+    write(ActivationRecord { state: ModelState::Active(activation), ..facts.record.clone() })
+}
+
+fn write(record: ActivationRecord) -> Step {
+    Step::Write { record, unless_used: false }
+}
--- /dev/null
+++ b/crates/stonewheel-activation/src/settings.rs
@@ -0,0 +1,379 @@
+//! The operators' settings of this part: a section `activation`, and one
+//! `model NAME` for each model.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use garde::Validate;
+use thiserror::Error;
+
+/// The section with what holds for all models.
+const GENERAL_SECTION: &str = "activation";
+/// The sections of models are called this and the model's name.
+const MODEL_SECTION: &str = "model ";
+/// The longest name of a model: it is part of keys.
+const LONGEST_NAME: usize = 64;
+/// A millisecond: nothing here is measured more finely.
+const SHORTEST_S: f64 = 0.001;
+/// A day: longer waits are mistakes.
+const LONGEST_S: f64 = 86_400.0;
+/// Priorities of jobs, in the submission's terms.
+const PRIORITIES: [&str; 4] = ["production", "high", "standard", "best_effort"];
+/// The key that other times of a model are ratios to.
+const LOAD_TIME: &str = "load_s";
+const BYTES_PER_KB: f64 = 1024.0;
+
+/// A mistake in the settings: which field, and what is wrong with it.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("{field}: {reason}")]
+pub struct SectionError {
+    /// Section and key.
+    pub field: String,
+    /// What is wrong.
+    pub reason: String,
+}
+
+/// What follows from the settings of the deployment.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// How long a controller's session outlives its last renewal.
+    pub session: Duration,
+    /// How long one call to the state service may take.
+    pub state_timeout: Duration,
+}
+
+/// What holds for all models.
+#[derive(Clone, Debug, PartialEq, Validate)]
+pub struct ActivationSettings {
+    /// Where requests to models are taken.
+    #[garde(skip)]
+    pub listen: std::net::SocketAddr,
+    /// Requests that one controller holds at once.
+    #[garde(range(min = 1.0, max = 1e6))]
+    pub hold_requests: f64,
+    /// Bytes of their bodies.
+    #[garde(range(min = 1.0, max = 1e9))]
+    pub hold_kb: f64,
+    /// The longest body of one request.
+    #[garde(range(min = 1.0, max = self.hold_kb))]
+    pub request_kb: f64,
+    /// How long a request may take once it is forwarded.
+    #[garde(range(min = SHORTEST_S, max = LONGEST_S))]
+    pub request_s: f64,
+    /// How long a controller that can't renew its session goes on forwarding to
+    /// models that were ready. A model drains for as long, and for one request.
+    #[garde(range(min = 0.0, max = LONGEST_S))]
+    pub outage_s: f64,
+    /// The models, by name.
+    #[garde(dive)]
+    pub models: BTreeMap<String, ModelSettings>,
+}
+
+/// One model: its replicas as the scheduler is to place them, and when it sleeps.
+#[derive(Clone, Debug, PartialEq, Validate)]
+pub struct ModelSettings {
+    /// The team that pays for it.
+    #[garde(length(bytes, min = 1, max = 200))]
+    pub team: String,
+    /// Its class of jobs.
+    #[garde(length(bytes, min = 1, max = 200))]
+    pub class: String,
+    /// The image that a machine needs.
+    #[garde(length(bytes, min = 1, max = 200))]
+    pub image: String,
+    /// Its size.
+    #[garde(range(min = 0.0, max = 1e6))]
+    pub image_gb: f64,
+    /// How urgent its replicas are, in the submission's terms.
+    #[garde(custom(known_priority))]
+    pub priority: String,
+    /// How many replicas it has.
+    #[garde(range(min = 1.0, max = 1e5), custom(whole))]
+    pub replicas: f64,
+    /// What each takes.
+    #[garde(range(min = 0.0, max = 1e6))]
+    pub cpus: f64,
+    /// What each takes.
+    #[garde(range(min = 0.0, max = 1e6))]
+    pub gpus: f64,
+    /// What each takes.
+    #[garde(range(min = 0.0, max = 1e9))]
+    pub memory_gb: f64,
+    /// The port at which a replica answers on its machine.
+    #[garde(range(min = 1.0, max = 65535.0), custom(whole))]
+    pub port: f64,
+    /// The path that a replica answers with 200 once it can take requests.
+    #[garde(custom(path))]
+    pub health: String,
+    /// How long a replica usually takes from the request for it to its first answer.
+    #[garde(range(min = SHORTEST_S, max = LONGEST_S))]
+    pub load_s: f64,
+    /// When a start is given up that has not brought an answer.
+    #[garde(range(min = SHORTEST_S, max = LONGEST_S), custom(at_least("load_s", self.load_s)))]
+    pub start_s: f64,
+    /// How long a request is held for a start.
+    #[garde(range(min = SHORTEST_S, max = LONGEST_S))]
+    pub hold_s: f64,
+    /// The model sleeps after so long without a request at any controller.
+    #[garde(range(min = SHORTEST_S, max = LONGEST_S))]
+    pub idle_s: f64,
+    /// But not sooner after a start.
+    #[garde(range(min = 0.0, max = LONGEST_S))]
+    pub awake_s: f64,
+    /// How often one wake tries to start it.
+    #[garde(range(min = 1.0, max = 100.0), custom(whole))]
+    pub attempts: f64,
+    /// The pause before the second attempt; it doubles with each further one.
+    #[garde(range(min = SHORTEST_S, max = LONGEST_S))]
+    pub backoff_s: f64,
+    /// How long requests are refused after the last attempt.
+    #[garde(range(min = SHORTEST_S, max = LONGEST_S))]
+    pub retry_s: f64,
+    /// How often the owner looks at the replicas.
+    #[garde(range(min = SHORTEST_S, max = LONGEST_S), custom(at_most("start_s", self.start_s)))]
+    pub look_s: f64,
+}
+
+fn whole(value: &f64, _: &()) -> garde::Result {
+    if value.fract() == 0.0 { Ok(()) } else { Err(garde::Error::new("must be a whole number")) }
+}
+
+fn known_priority(value: &str, _: &()) -> garde::Result {
+    if PRIORITIES.contains(&value) {
+        return Ok(());
+    }
+    Err(garde::Error::new(format!("must be one of {}", PRIORITIES.join(", "))))
+}
+
+fn path(value: &str, _: &()) -> garde::Result {
+    if value.starts_with('/') && value.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Ok(());
+    }
+    Err(garde::Error::new("must begin with / and hold no spaces"))
+}
+
+fn at_least(field: &'static str, other: f64) -> impl FnOnce(&f64, &()) -> garde::Result {
+    move |value, &()| {
+        if *value >= other {
+            return Ok(());
+        }
+        Err(garde::Error::new(format!("must be at least {field}, which is {other}")))
+    }
+}
+
+fn at_most(field: &'static str, other: f64) -> impl FnOnce(&f64, &()) -> garde::Result {
+    move |value, &()| {
+        if *value <= other {
+            return Ok(());
+        }
+        Err(garde::Error::new(format!("must be at most {field}, which is {other}")))
+    }
+}
+
+impl ActivationSettings {
+    /// Bytes of bodies that may be held at once.
+    pub fn hold_bytes(&self) -> usize {
+        (self.hold_kb * BYTES_PER_KB) as usize
+    }
+
+    /// Bytes of the longest body.
+    pub fn request_bytes(&self) -> usize {
+        (self.request_kb * BYTES_PER_KB) as usize
+    }
+
+    /// How long a forwarded request may take.
+    pub fn request_limit(&self) -> Duration {
+        Duration::from_secs_f64(self.request_s)
+    }
+
+    /// How long requests are forwarded beyond the session.
+    pub fn outage(&self) -> Duration {
+        Duration::from_secs_f64(self.outage_s)
+    }
+
+    /// How long a model drains: a controller that lost its session forwards for
+    /// `outage_s` more, and its last request ends `request_s` later.
+    pub fn drain(&self) -> Duration {
+        self.outage() + self.request_limit()
+    }
+}
+
+impl ModelSettings {
+    /// The pause before an attempt, without jitter.
+    pub fn backoff(&self, attempt: u32) -> Duration {
+        if attempt <= 1 {
+            return Duration::ZERO;
+        }
+        let doublings = i32::try_from(attempt - 2).unwrap_or(i32::MAX);
+        Duration::from_secs_f64((self.backoff_s * 2f64.powi(doublings)).min(LONGEST_S))
+    }
+}
+
+/// The keys of one section that nobody has asked for yet.
+struct Section<'a> {
+    name: &'a str,
+    keys: BTreeMap<&'a str, &'a str>,
+}
+
+impl<'a> Section<'a> {
+    fn new(name: &'a str, pairs: &[(&'a str, &'a str)]) -> Result<Self, SectionError> {
+        let mut section = Self { name, keys: BTreeMap::new() };
+        for (key, value) in pairs {
+            if section.keys.insert(key, value).is_some() {
+                return Err(section.error(key, "is set twice"));
+            }
+        }
+        Ok(section)
+    }
+
+    fn error(&self, key: &str, reason: &str) -> SectionError {
+        SectionError { field: format!("{}.{key}", self.name), reason: reason.into() }
+    }
+
+    fn text(&mut self, key: &str, default: Option<&str>) -> Result<String, SectionError> {
+        match self.keys.remove(key).or(default) {
+            Some(value) => Ok(value.to_owned()),
+            None => Err(self.error(key, "is missing")),
+        }
+    }
+
+    fn number(&mut self, key: &str, default: Option<f64>) -> Result<f64, SectionError> {
+        match (self.keys.remove(key), default) {
+            (Some(text), _) => {
+                let number = text.parse::<f64>().ok().filter(|number| number.is_finite());
+                number.ok_or_else(|| self.error(key, "must be a finite number"))
+            }
+            (None, Some(default)) => Ok(default),
+            (None, None) => Err(self.error(key, "is missing")),
+        }
+    }
+
+    fn end(self) -> Result<(), SectionError> {
+        match self.keys.keys().next() {
+            Some(key) => Err(self.error(key, "unknown key")),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Reads the sections of this part out of an INI file's. None if there is no section
+/// `activation`. Sections of other parts are passed over.
+pub fn parse_sections<'a>(
+    sections: impl Iterator<Item = (&'a str, Vec<(&'a str, &'a str)>)>,
+) -> Result<Option<ActivationSettings>, SectionError> {
+    let mut settings = None;
+    let mut models = BTreeMap::new();
+    for (name, pairs) in sections {
+        if name == GENERAL_SECTION {
+            if settings.replace(general(Section::new(name, &pairs)?)?).is_some() {
+                return Err(stands_twice(name));
+            }
+        } else if let Some(model) = name.strip_prefix(MODEL_SECTION) {
+            check_name(name, model)?;
+            let parsed = model_settings(Section::new(name, &pairs)?)?;
+            if models.insert(model.to_owned(), parsed).is_some() {
+                return Err(stands_twice(name));
+            }
+        }
+    }
+    let Some(mut settings) = settings else {
+        return match models.keys().next() {
+            Some(name) => Err(SectionError {
+                field: format!("{MODEL_SECTION}{name}"),
+                reason: format!("needs a section [{GENERAL_SECTION}]"),
+            }),
+            None => Ok(None),
+        };
+    };
+    if models.is_empty() {
+        let reason = format!("needs a section [{MODEL_SECTION}NAME]");
+        return Err(SectionError { field: GENERAL_SECTION.into(), reason });
+    }
+    settings.models = models;
+    settings.validate().map_err(|report| first_error(&report))?;
+    Ok(Some(settings))
+}
+
+/// Whether a section belongs to this part.
+pub fn is_section(name: &str) -> bool {
+    name == GENERAL_SECTION || name.starts_with(MODEL_SECTION)
+}
+
+fn stands_twice(section: &str) -> SectionError {
+    SectionError { field: section.into(), reason: "stands twice".into() }
+}
+
+fn check_name(section: &str, model: &str) -> Result<(), SectionError> {
+    let fits =
+        |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-_.".contains(&byte);
+    if !model.is_empty() && model.len() <= LONGEST_NAME && model.bytes().all(fits) {
+        return Ok(());
+    }
+    let reason = "a model's name has 1 to 64 of a to z, 0 to 9, '-', '_' and '.'";
+    Err(SectionError { field: section.into(), reason: reason.into() })
+}
+
+/// The first mistake of a report, in the file's terms.
+fn first_error(report: &garde::Report) -> SectionError {
+    // Other times follow from the load time where they are not set, and so do their
+    // mistakes.
+    let follows = |path: &garde::Path| !path.to_string().ends_with(LOAD_TIME);
+    let Some((path, error)) = report.iter().min_by_key(|(path, _)| follows(path)) else {
+        return SectionError { field: GENERAL_SECTION.into(), reason: "is invalid".into() };
+    };
+    let path = path.to_string();
+    let field = match path.strip_prefix("models.").and_then(|rest| rest.rsplit_once('.')) {
+        Some((model, key)) => {
+            format!("{MODEL_SECTION}{}.{key}", model.trim_matches(['[', ']', '"']))
+        }
+        None => format!("{GENERAL_SECTION}.{path}"),
+    };
+    SectionError { field, reason: error.message().into() }
+}
+
+fn general(mut section: Section<'_>) -> Result<ActivationSettings, SectionError> {
+    let listen = section.text("listen", None)?;
+    let listen = listen.parse().map_err(|_| section.error("listen", "must be address:port"))?;
+    let settings = ActivationSettings {
+        listen,
+        hold_requests: section.number("hold_requests", Some(1000.0))?,
+        hold_kb: section.number("hold_kb", Some(4096.0))?,
+        request_kb: section.number("request_kb", Some(64.0))?,
+        request_s: section.number("request_s", Some(60.0))?,
+        outage_s: section.number("outage_s", Some(30.0))?,
+        models: BTreeMap::new(),
+    };
+    section.end()?;
+    Ok(settings)
+}
+
+fn model_settings(mut section: Section<'_>) -> Result<ModelSettings, SectionError> {
+    let load_s = section.number(LOAD_TIME, None)?;
+    let settings = ModelSettings {
+        team: section.text("team", None)?,
+        class: section.text("class", None)?,
+        image: section.text("image", None)?,
+        image_gb: section.number("image_gb", None)?,
+        priority: section.text("priority", Some("high"))?,
+        replicas: section.number("replicas", Some(1.0))?,
+        cpus: section.number("cpus", None)?,
+        gpus: section.number("gpus", None)?,
+        memory_gb: section.number("memory_gb", None)?,
+        port: section.number("port", None)?,
+        health: section.text("health", Some("/health"))?,
+        load_s,
+        // Three usual starts, and four usual ones with their requests.
+        start_s: section.number("start_s", Some(load_s * 3.0))?,
+        hold_s: section.number("hold_s", Some(load_s * 4.0))?,
+        idle_s: section.number("idle_s", Some(load_s * 5.0))?,
+        awake_s: section.number("awake_s", Some(load_s * 2.0))?,
+        attempts: section.number("attempts", Some(3.0))?,
+        backoff_s: section.number("backoff_s", Some(load_s / 8.0))?,
+        retry_s: section.number("retry_s", Some(load_s))?,
+        look_s: section.number("look_s", Some(load_s / 30.0))?,
+    };
+    section.end()?;
+    Ok(settings)
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/stonewheel-standins/src/state.rs
+++ b/crates/stonewheel-standins/src/state.rs
@@ -104,6 +104,13 @@
             self.rejected += 1;
             return Err(StateError::Rejected("too large".into()));
         }
+        let over = |write: &Write| match write {
+            Write::Put { lease: Some(lease), .. } => !self.leases.contains_key(lease),
+            _ => false,
+        };
+        if txn.writes.iter().any(over) {
+            return Err(StateError::NoLease);
+        }
         let version = |key: &String| self.kv.get(key).map_or(0, |(_, v, _)| *v);
         let failed: Vec<String> = txn
             .conditions
@@ -118,7 +125,6 @@
         for write in &txn.writes {
             match write {
                 Write::Put { key, value, lease } => {
-                    assert!(lease.is_none_or(|l| self.leases.contains_key(&l)), "lease ended");
                     self.kv.insert(key.clone(), (value.clone(), self.revision, *lease));
                     self.log.push((self.revision, key.clone(), Some(value.clone())));
                 }
--- a/crates/stonewheel-state/src/writer.rs
+++ b/crates/stonewheel-state/src/writer.rs
@@ -195,8 +195,9 @@
                 {
                     tokio::time::sleep(self.timeout / 8).await;
                 }
-                // One that is too large must not take the others with it.
-                Err(StateError::Rejected(_)) if group.len() > 1 => {
+                // One that is too large, or attached to a lease that has ended, must
+                // not take the others with it.
+                Err(StateError::Rejected(_) | StateError::NoLease) if group.len() > 1 => {
                     for change in group {
                         self.send_alone(change).await;
                     }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -6,13 +6,10 @@
 use futures_util::future::BoxFuture;
 use http_body_util::Full;
 use hyper::{Request, body::Incoming, service::service_fn};
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    service::TowerToHyperService,
-};
+use hyper_util::service::TowerToHyperService;
+use stonewheel_http_server::{ConnectionLimits, accept, serve_connection};
 use tokio::{net::TcpListener, sync::Semaphore};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
-use tracing::debug;
 use warp::{
     Filter, Rejection, Reply,
     http::{HeaderValue, StatusCode, header},
@@ -195,6 +192,7 @@
     let idle = node.settings.worker_lease() * 2;
     let memory = node.settings.cluster.quota.mem_mb * BYTES_PER_MB;
     let bodies = Arc::new(BodyBudget::new(memory, node.settings.worker_lease() / 2));
+    let limits = ConnectionLimits { header_time: idle, buffer: BODY_LIMIT / 4 };
     let service = warp::service(routes(node));
     let connections = TaskTracker::new();
     loop {
@@ -202,7 +200,7 @@
             slot = slots.clone().acquire_owned() => slot,
             () = stop.cancelled() => break,
         };
-        let Some(stream) = super::accept(&listener, &stop).await else { break };
+        let Some(stream) = accept(&listener, &stop).await else { break };
         let _ = stream.set_nodelay(true);
         let inner = TowerToHyperService::new(service.clone());
         let free = slots.clone();
@@ -221,23 +219,7 @@
         });
         let stop = stop.clone();
         connections.spawn(async move {
-            let connection = hyper::server::conn::http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(idle)
-                .max_buf_size(BODY_LIMIT / 4)
-                .serve_connection(TokioIo::new(stream), service);
-            tokio::pin!(connection);
-            tokio::select! {
-                result = connection.as_mut() => {
-                    if let Err(e) = result {
-                        debug!(error = %e, "connection");
-                    }
-                }
-                () = stop.cancelled() => {
-                    connection.as_mut().graceful_shutdown();
-                    let _ = connection.await;
-                }
-            }
+            serve_connection(stream, service, limits, stop).await;
             drop(slot);
         });
     }
