Activation onto the scheduler: fenced service jobs, switched on by an operators' file

Change: the owner of a cold start submits a service job in a transaction that is conditioned on the model's record and that writes a marker, so that a user's job with the same id is neither taken over nor withdrawn.

--- a/crates/stonewheel-activation/src/model.rs
+++ b/crates/stonewheel-activation/src/model.rs
@@ -398,6 +398,7 @@
     let Situation { session, now, settings, .. } = *situation;
     let Some(session) = session else { return Availability::Unknown };
     if let Some(endpoints) = facts.record.ready_endpoints()
+        && !endpoints.is_empty()
         && facts.marked
         && now < session.valid_until + settings.outage()
     {
--- a/crates/stonewheel-activation/src/planner.rs
+++ b/crates/stonewheel-activation/src/planner.rs
@@ -224,6 +224,10 @@
         Observed::Ready(seen) if seen != endpoints => {
             stage(facts, activation, Stage::Ready { endpoints: seen.clone() })
         }
+        // None answers for now: requests wait, and the replicas may come back.
+        Observed::Pending if !endpoints.is_empty() => {
+            stage(facts, activation, Stage::Ready { endpoints: Vec::new() })
+        }
         _ if !facts.used && !facts.wanted && facts.timers.awake => Step::Write {
             record: with_stage(
                 facts,
--- a/crates/stonewheel-activation/tests/common/farm.rs
+++ b/crates/stonewheel-activation/tests/common/farm.rs
@@ -120,6 +120,14 @@
         }
     }
 
+    /// Replicas of a model stop answering, but run on; or they answer again.
+    pub fn set_silent(&self, model: &str, silent: bool) {
+        let now = Instant::now();
+        for job in self.lock().jobs.values_mut().filter(|job| job.model == model) {
+            job.ready_at = (!silent).then_some(now);
+        }
+    }
+
     pub fn let_starts_hang(&self, count: u32) {
         self.lock().silent_starts = count;
     }
--- a/crates/stonewheel-activation/tests/common/mod.rs
+++ b/crates/stonewheel-activation/tests/common/mod.rs
@@ -1,7 +1,10 @@
 //! Several controllers' activators over the stand-ins of the state service and of
 //! what starts replicas.
 
+pub mod controllers;
 pub mod farm;
+pub mod house;
+pub mod loopback;
 
 use std::{
     collections::BTreeMap,
--- a/crates/stonewheel-activation/tests/stories.rs
+++ b/crates/stonewheel-activation/tests/stories.rs
@@ -310,6 +310,23 @@
     fleet.no_rule_broken();
 }
 
+#[tokio::test(start_paused = true)]
+async fn requests_wait_while_replicas_run_but_do_not_answer() {
+    let fleet = Fleet::with_router(3).await;
+    assert!(all_answered(&fleet.burst(3, "router").await));
+    fleet.farm.set_silent("router", true);
+    sleep(Duration::from_secs(5)).await;
+    let waiting = tokio::spawn({
+        let fleet = fleet.clone();
+        async move { fleet.burst(30, "router").await }
+    });
+    sleep(Duration::from_secs(20)).await;
+    assert!(!waiting.is_finished(), "held");
+    fleet.farm.set_silent("router", false);
+    assert!(all_answered(&waiting.await.expect("ran")));
+    assert_eq!(fleet.farm.starts().len(), 1);
+}
+
 #[tokio::test(start_paused = true)]
 async fn what_can_never_start_is_refused_without_further_attempts() {
     let fleet = Fleet::with_router(3).await;
--- a/crates/stonewheel-standins/src/lib.rs
+++ b/crates/stonewheel-standins/src/lib.rs
@@ -5,4 +5,4 @@
 mod state;
 
 pub use faults::{Delays, LateCommands, LateTransactions};
-pub use state::MemState;
+pub use state::{MemState, StateUsage};
--- a/crates/stonewheel-standins/src/state.rs
+++ b/crates/stonewheel-standins/src/state.rs
@@ -47,10 +47,21 @@
     failing: Option<Delays>,
     /// Which transactions come late, or lose their answer.
     late: Option<LateTransactions>,
+    /// Calls and changes that were asked for so far.
+    usage: StateUsage,
     /// Until when these clients' calls wait, since their process stands still.
     frozen: HashMap<String, Instant>,
 }
 
+/// What was asked of the state service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StateUsage {
+    /// Requests of any kind.
+    pub requests: u64,
+    /// Puts and deletes.
+    pub writes: u64,
+}
+
 /// What the state service takes: bytes of a value, writes of a transaction.
 #[derive(Clone, Copy)]
 struct Limits {
@@ -240,6 +251,11 @@
         lock(&self.0).mute.insert(client.into(), count);
     }
 
+    /// What was asked for so far, by all clients.
+    pub fn usage(&self) -> StateUsage {
+        lock(&self.0).usage
+    }
+
     pub fn value(&self, key: &str) -> Option<String> {
         lock(&self.0).kv.get(key).map(|(v, ..)| v.get().to_owned())
     }
@@ -272,7 +288,8 @@
     /// Waits for as long as a call takes, and while the process stands still.
     async fn pass_time(&self) {
         let (latency, frozen) = {
-            let store = lock(&self.store.0);
+            let mut store = lock(&self.store.0);
+            store.usage.requests += 1;
             (LATENCY + store.slow, store.frozen.get(&self.name).copied())
         };
         sleep(latency).await;
@@ -325,6 +342,7 @@
             self.pass_time().await;
             let silent = {
                 let mut store = self.open()?;
+                store.usage.writes += txn.writes.len() as u64;
                 let late = store.late.as_mut().and_then(LateTransactions::draw);
                 if let Some(delay) = late {
                     if delay.is_zero() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! order and sets every job's width by a dynamic program maximising summed
 //! throughput scaling factors, resizing through checkpoint and resume.
 
+pub mod activation;
 pub mod admission_limit;
 pub mod cloud;
 pub mod controller;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,9 +3,12 @@
 use std::{path::PathBuf, process::ExitCode, sync::Arc};
 
 use clap::Parser;
-use stonewheel::{cloud::HttpCloud, fleet::HttpWorkers, node::Node, settings::Settings, state};
+use stonewheel::{
+    activation, activation::HttpProbe, cloud::HttpCloud, fleet::HttpWorkers, node::Node,
+    settings::Settings, state,
+};
 use tokio::net::TcpListener;
-use tokio_util::sync::CancellationToken;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use tracing::level_filters::LevelFilter;
 
 /// A scheduler for fleets that serve language models.
@@ -65,8 +68,18 @@
         let cloud = Arc::new(HttpCloud::new(&settings));
         let seed = rand::random();
         let workers = Arc::new(HttpWorkers::new(&settings));
+        let probe = Arc::new(HttpProbe::new(&settings));
         let node = Node::new(settings, state, cloud, workers, seed);
-        node.run(public, internal, CancellationToken::new()).await;
+        let stop = CancellationToken::new();
+        let parts = TaskTracker::new();
+        if let Some(activator) = activation::activator(&node, probe, seed) {
+            let listener = TcpListener::bind(activator.settings().listen).await?;
+            parts.spawn(activator.clone().run(stop.clone()));
+            parts.spawn(stonewheel_activation::serve(activator, listener, stop.clone()));
+        }
+        node.run(public, internal, stop).await;
+        parts.close();
+        parts.wait().await;
         Ok(())
     })
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,6 +8,7 @@
 mod cloud_duty;
 mod leading;
 mod links;
+mod owned_jobs;
 mod records;
 mod users;
 mod workers;
@@ -43,6 +44,7 @@
 };
 
 pub use leading::lead_duty;
+pub use owned_jobs::OwnedReply;
 
 /// Why a request can't be answered now. All of these are worth a retry.
 #[derive(Clone, Copy, Debug, Error, PartialEq)]
@@ -190,6 +192,11 @@
         duties
     }
 
+    /// What all parts of this controller write through.
+    pub fn writer(&self) -> Arc<Writer> {
+        self.writer.clone()
+    }
+
     /// Healthy unless it never saw the records, or alone lost the state
     /// service: in an outage that all share, other nodes are no better.
     pub fn healthy(&self) -> bool {
--- /dev/null
+++ b/src/node/owned_jobs.rs
@@ -0,0 +1,123 @@
+//! Jobs that another part of this process submits and withdraws on its own behalf.
+//!
+//! Each has a marker among that part's records, written in the transaction that
+//! accepts the job, so that a user's job with the same id is told from ours. Both
+//! transactions are conditioned on the record that the part decided on: whoever was
+//! replaced meanwhile is refused by the state service.
+
+use tracing::info;
+
+use super::{Node, Trouble};
+use crate::{
+    protocol::{Condition, JobSpec, JobState, Write},
+    state::{Reserve, StateError, lock},
+    store::{self, End},
+};
+
+/// What became of a submission or a withdrawal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OwnedReply {
+    /// It stands, by this call or by one before it.
+    Done,
+    /// Another job has this id.
+    NameTaken,
+    /// The record that it was decided on has changed.
+    Stale,
+    /// The job can never run.
+    Impossible(String),
+}
+
+impl Node {
+    /// Submits a job of our own. `fence`: what the decision rests on. `marker`: the
+    /// key that says that the job is ours.
+    pub async fn submit_owned(
+        &self,
+        spec: &JobSpec,
+        fence: &Condition,
+        marker: &str,
+    ) -> Result<OwnedReply, Trouble> {
+        if let Some(reason) = self.impossible(spec)? {
+            return Ok(OwnedReply::Impossible(reason));
+        }
+        let (Ok(job), Ok(mark)) = (store::value(spec), store::value(&self.settings.member)) else {
+            return Ok(OwnedReply::Impossible("can't be stored".into()));
+        };
+        let (mut conditions, _) = self.acceptance_conditions(spec);
+        conditions.push(fence.clone());
+        let accept = Write::Put { key: store::job_key(&spec.id), value: job, lease: None };
+        let marked = Write::Put { key: marker.to_owned(), value: mark, lease: None };
+        match self.writer.commit(conditions, vec![accept.clone(), marked]).await {
+            Ok(revision) => {
+                self.note_writes(&[accept], revision);
+                info!(job = %spec.id, class = %spec.class, "accepted, of our own");
+                Ok(OwnedReply::Done)
+            }
+            Err(StateError::Conflict(keys)) => self.why_refused(&keys, fence, marker).await,
+            Err(StateError::Rejected(reason)) => Ok(OwnedReply::Impossible(reason)),
+            Err(_) => Err(Trouble::State),
+        }
+    }
+
+    async fn why_refused(
+        &self,
+        keys: &[String],
+        fence: &Condition,
+        marker: &str,
+    ) -> Result<OwnedReply, Trouble> {
+        // An earlier try of ours may have been carried out without an answer.
+        if self.marker_version(marker).await?.is_some() {
+            return Ok(OwnedReply::Done);
+        }
+        Ok(if keys.contains(&fence.key) { OwnedReply::Stale } else { OwnedReply::NameTaken })
+    }
+
+    /// Withdraws a job of our own, if there is one: a job without a marker is a
+    /// user's, and stays.
+    pub async fn withdraw_owned(
+        &self,
+        id: &str,
+        fence: &Condition,
+        marker: &str,
+    ) -> Result<OwnedReply, Trouble> {
+        let Some(marker_version) = self.marker_version(marker).await? else {
+            return Ok(OwnedReply::Done);
+        };
+        self.fresh().await?;
+        let mut conditions =
+            vec![fence.clone(), Condition { key: marker.to_owned(), version: marker_version }];
+        let unmark = Write::Delete { key: marker.to_owned() };
+        let running = {
+            let picture = lock(&self.picture);
+            let status = picture.status(id).filter(|status| !super::users::is_final(status));
+            status.zip(picture.jobs.get(id).map(|job| job.version))
+        };
+        let mut writes = Vec::new();
+        if let Some((status, version)) = running {
+            let end = End { state: JobState::Cancelled, done: status.done };
+            let Ok(value) = store::value(&end) else { return Err(Trouble::State) };
+            let key = store::end_key(id);
+            conditions.push(Condition { key: key.clone(), version: 0 });
+            conditions.push(Condition { key: store::job_key(id), version });
+            writes.push(Write::Put { key, value, lease: None });
+        }
+        let ends = writes.clone();
+        writes.push(unmark);
+        match self.writer.commit(conditions, writes).await {
+            Ok(revision) => {
+                self.note_writes(&ends, revision);
+                info!(job = id, "withdrawn, of our own");
+                Ok(OwnedReply::Done)
+            }
+            Err(StateError::Conflict(keys)) if keys.contains(&fence.key) => Ok(OwnedReply::Stale),
+            // It ended by itself, or our own earlier try was carried out: asked again.
+            Err(_) => Err(Trouble::State),
+        }
+    }
+
+    /// The version of a marker, as the state service has it now.
+    async fn marker_version(&self, marker: &str) -> Result<Option<u64>, Trouble> {
+        self.requests.take_leaving(1.0, Reserve::Quarter).await;
+        let page = self.state.list(marker, "").await.map_err(|_| Trouble::State)?;
+        Ok(page.items.iter().find(|item| item.key == marker).map(|item| item.version))
+    }
+}
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -39,7 +39,7 @@
         };
         let known = lock(&self.picture).status(&spec.id);
         match known {
-            Some(status) if final_state(&status) => return Ok(UserReply::Known(status)),
+            Some(status) if is_final(&status) => return Ok(UserReply::Known(status)),
             Some(_) => return self.status(&spec.id).await,
             None => {}
         }
@@ -123,7 +123,7 @@
 
     /// The conditions under which a job is accepted, and whether they cover all
     /// that it depends on: a cancellation that lands first must be seen.
-    fn acceptance_conditions(&self, spec: &JobSpec) -> (Vec<Condition>, bool) {
+    pub(super) fn acceptance_conditions(&self, spec: &JobSpec) -> (Vec<Condition>, bool) {
         let mut conditions = vec![
             Condition { key: store::job_key(&spec.id), version: 0 },
             Condition { key: store::end_key(&spec.id), version: 0 },
@@ -142,14 +142,14 @@
         if !covered {
             self.fresh().await?;
         }
-        let cancelled = lock(&self.picture).status(&spec.id).filter(final_state);
+        let cancelled = lock(&self.picture).status(&spec.id).filter(is_final);
         let state = cancelled.map_or(JobState::Pending, |status| status.state);
         let id = spec.id.clone();
         Ok(UserReply::Created(JobStatus { id, state, done: 0, running: 0 }))
     }
 
     /// Why a job can never run, if so.
-    fn impossible(&self, spec: &JobSpec) -> Result<Option<String>, Trouble> {
+    pub(super) fn impossible(&self, spec: &JobSpec) -> Result<Option<String>, Trouble> {
         let Some(team) = self.settings.team(&spec.team) else {
             return Ok(Some("no such team".into()));
         };
@@ -172,7 +172,7 @@
             return Ok(UserReply::Unknown);
         }
         let known = lock(&self.picture).status(id);
-        if let Some(status) = known.filter(final_state) {
+        if let Some(status) = known.filter(is_final) {
             return Ok(UserReply::Known(status));
         }
         self.fresh().await?;
@@ -186,7 +186,7 @@
 
     pub async fn cancel(&self, id: &str) -> Result<UserReply, Trouble> {
         let status = match self.status(id).await? {
-            UserReply::Known(status) if !final_state(&status) => status,
+            UserReply::Known(status) if !is_final(&status) => status,
             reply => return Ok(reply),
         };
         let Some(version) = lock(&self.picture).jobs.get(id).map(|j| j.version) else {
@@ -210,13 +210,14 @@
             Err(StateError::Refused(_)) => Err(Trouble::State),
             // It may have ended otherwise, or our write may still come.
             Err(_) => match self.status(id).await? {
-                UserReply::Known(status) if final_state(&status) => Ok(UserReply::Known(status)),
+                UserReply::Known(status) if is_final(&status) => Ok(UserReply::Known(status)),
                 _ => Err(Trouble::State),
             },
         }
     }
 }
 
-fn final_state(status: &JobStatus) -> bool {
+/// Whether a job in this state stays in it.
+pub(super) fn is_final(status: &JobStatus) -> bool {
     matches!(status.state, JobState::Done | JobState::Cancelled)
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -23,6 +23,8 @@
 const CLOUD_SOCKETS: usize = 8;
 /// Listeners, the runtime's own, standard streams.
 const BASE_SOCKETS: usize = 12;
+/// The longest name of a member that fits a key with another name.
+const LONGEST_KEY_PART: usize = 64;
 /// What listeners have where nothing else is asked for.
 const LEAST_BACKLOG: u32 = 1024;
 
@@ -155,11 +157,39 @@
         };
         let mut settings = Self::parse(&path.display().to_string(), &read(path)?)?;
         if let Some(path) = operator {
-            settings.operator = Operator::parse(&path.display().to_string(), &read(path)?)?;
+            let file = path.display().to_string();
+            settings.operator = Operator::parse(&file, &read(path)?)?;
+            settings.check_activation(&file)?;
         }
         Ok(settings)
     }
 
+    /// What the models that scale to zero need of the deployment.
+    pub fn check_activation(&self, file: &str) -> Result<(), SettingsError> {
+        let error =
+            |field: String, reason: String| SettingsError { file: file.into(), field, reason };
+        let Some(activation) = &self.operator.activation else { return Ok(()) };
+        for (name, model) in &activation.models {
+            if self.team(&model.team).is_none() {
+                let reason = format!("cluster.teams has no {}", model.team);
+                return Err(error(format!("model {name}.team"), reason));
+            }
+        }
+        let conditions = self.state_limits().transaction_conditions();
+        if !stonewheel_activation::members_fit(self.members.len() + 1, conditions) {
+            let reason = format!("a transaction of {conditions} conditions can't name all members");
+            return Err(error("activation".into(), reason));
+        }
+        let names = self.members.iter().map(|m| &m.member).chain([&self.member]);
+        for name in names {
+            let fits = name.len() <= LONGEST_KEY_PART && name.bytes().all(|b| b.is_ascii_graphic());
+            if !fits || name.contains('/') {
+                return Err(error("activation".into(), format!("{name:?} can't be part of a key")));
+            }
+        }
+        Ok(())
+    }
+
     pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
         let error = |field: &str, reason: &str| SettingsError {
             file: file.into(),
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -1,5 +1,7 @@
 //! The operators' own settings (INI).
 
+use stonewheel_activation::{ActivationSettings, is_section, parse_sections};
+
 use super::SettingsError;
 
 /// What operators may set for themselves, with the project's defaults.
@@ -19,6 +21,8 @@
     /// Machines that the fleet may have, or 0 if nobody has said. Nothing is
     /// refused beyond it: it serves to check the other settings.
     pub expected_machines: f64,
+    /// Models that scale to zero, if that is switched on.
+    pub activation: Option<ActivationSettings>,
 }
 
 impl Default for Operator {
@@ -30,6 +34,7 @@
             idle_boots: 0.25,
             headroom: 0.4,
             expected_machines: 0.0,
+            activation: None,
         }
     }
 }
@@ -45,7 +50,9 @@
         };
         let ini = ini::Ini::load_from_str(text).map_err(|e| error("syntax", &e.to_string()))?;
         let mut operator = Self::default();
-        for (section, keys) in ini.iter() {
+        let sections = ini.iter().filter_map(|(name, keys)| Some((name?, keys.iter().collect())));
+        operator.activation = parse_sections(sections).map_err(|e| error(&e.field, &e.reason))?;
+        for (section, keys) in ini.iter().filter(|(name, _)| !name.is_some_and(is_section)) {
             for (key, value) in keys.iter() {
                 let field = format!("{}.{key}", section.unwrap_or(""));
                 let slot = match field.as_str() {
--- a/src/store.rs
+++ b/src/store.rs
@@ -440,6 +440,13 @@
         None
     }
 
+    /// The machines that hold tasks of a job.
+    pub fn machines_of(&self, id: &str) -> Vec<MachineId> {
+        let pages = self.pages.get(id).into_iter().flat_map(BTreeMap::values);
+        let read = pages.filter_map(|page| serde_json::from_str::<Page>(page.raw.get()).ok());
+        read.flat_map(|page| page.bound).map(|bound| bound.machine).collect()
+    }
+
     /// The first of these jobs that this picture doesn't know as accepted.
     pub fn first_unknown<'a>(&self, jobs: &'a [JobId]) -> Option<&'a JobId> {
         let known = |id: &JobId| {
--- /dev/null
+++ b/tests/activation.rs
@@ -0,0 +1,276 @@
+//! Scale to zero onto the scheduler: cold starts as service jobs, with several
+//! controllers and machines, some of which end.
+
+#[allow(dead_code)] // Each test file uses its own part.
+mod common;
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use common::{World, job, machine_at, no_rule_broken, state};
+use futures_util::future::BoxFuture;
+use serde_json::json;
+use stonewheel::{
+    activation::{ReplicaProbe, activator},
+    node::OwnedReply,
+    protocol::{Condition, JobSpec, JobState},
+};
+use stonewheel_activation::{ActivationSettings, Activator, Refusal, parse_sections};
+use tokio::time::{Instant, sleep};
+
+fn activation_settings() -> ActivationSettings {
+    let model = [
+        ("team", "red"),
+        ("class", "rush"),
+        ("image", "router"),
+        ("image_gb", "1"),
+        ("cpus", "4"),
+        ("gpus", "2"),
+        ("memory_gb", "8"),
+        ("replicas", "2"),
+        ("port", "8000"),
+        ("load_s", "30"),
+        ("hold_s", "200"),
+        ("idle_s", "60"),
+        ("awake_s", "30"),
+        ("look_s", "1"),
+    ];
+    let sections =
+        [("activation", vec![("listen", "127.0.0.1:0")]), ("model router", model.to_vec())];
+    parse_sections(sections.into_iter()).expect("valid").expect("switched on")
+}
+
+/// A replica answers while its task runs on its machine.
+struct MemProbe(World);
+
+impl ReplicaProbe for MemProbe {
+    fn answers(&self, endpoint: SocketAddr, _: &str) -> BoxFuture<'_, bool> {
+        let machine = machine_at(&endpoint.to_string());
+        Box::pin(async move {
+            sleep(Duration::from_millis(5)).await;
+            assert_eq!(endpoint.port(), 8000);
+            self.0.jobs_of_our_own().iter().any(|job| self.0.runs_on(job, &machine))
+        })
+    }
+}
+
+trait OwnJobs {
+    /// Jobs that were started for a model and not stopped yet, by their markers.
+    fn jobs_of_our_own(&self) -> Vec<String>;
+    /// All that was ever submitted for a model and is in the records.
+    fn machines_with(&self, job: &str) -> usize;
+}
+
+impl OwnJobs for World {
+    fn jobs_of_our_own(&self) -> Vec<String> {
+        let keys = self.state.keys("sa/j/");
+        keys.iter().map(|key| key.trim_start_matches("sa/j/").to_owned()).collect()
+    }
+
+    fn machines_with(&self, job: &str) -> usize {
+        self.machines().iter().filter(|machine| self.runs_on(job, machine)).count()
+    }
+}
+
+/// Three controllers with the part switched on, over the same fleet.
+#[derive(Clone)]
+struct Deployment {
+    world: World,
+    activators: Arc<Mutex<BTreeMap<usize, Arc<Activator>>>>,
+}
+
+impl Deployment {
+    /// `with`: the controllers that run the part.
+    async fn new(machines: u32, with: &[usize]) -> Self {
+        let world = World::new(machines).await;
+        world.set_activation(Some(activation_settings()));
+        let deployment = Self { world, activators: Arc::default() };
+        for at in with {
+            deployment.world.kill_node(*at);
+            sleep(Duration::from_secs(5)).await;
+            deployment.start(*at);
+        }
+        sleep(Duration::from_secs(10)).await;
+        deployment
+    }
+
+    fn start(&self, at: usize) {
+        self.world.start_node(at);
+        let probe = Arc::new(MemProbe(self.world.clone()));
+        let activator = activator(&self.world.node(at), probe, at as u64).expect("switched on");
+        tokio::spawn(activator.clone().run(self.world.stop_token(at)));
+        self.activators.lock().expect("not poisoned").insert(at, activator);
+    }
+
+    fn kill(&self, at: usize) {
+        self.world.kill_node(at);
+        // It gives nothing back: its lease runs out by itself.
+        self.world.state.refuse(&format!("m-{at}"), true);
+        self.activators.lock().expect("not poisoned").remove(&at);
+    }
+
+    /// Requests over all controllers that run the part.
+    async fn burst(&self, count: usize) -> Vec<Result<(), Refusal>> {
+        let activators: Vec<_> =
+            self.activators.lock().expect("not poisoned").values().cloned().collect();
+        let requests = (0..count).map(|number| {
+            let activator = activators[number % activators.len()].clone();
+            tokio::spawn(async move { activator.enter("router", 10).await.map(drop) })
+        });
+        let requests: Vec<_> = requests.collect();
+        let mut outcomes = Vec::new();
+        for request in requests {
+            outcomes.push(request.await.expect("ran"));
+        }
+        outcomes
+    }
+
+    fn record(&self) -> serde_json::Value {
+        let text = self.world.state.value("sa/m/router").unwrap_or_else(|| "null".into());
+        serde_json::from_str(&text).expect("a record")
+    }
+
+    fn owner(&self) -> Option<usize> {
+        let record = self.record();
+        let member = record["state"]["active"]["owner"]["member"].as_str()?;
+        member.strip_prefix("m-")?.parse().ok()
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_wake_is_one_service_job_and_sleep_withdraws_it() {
+    let deployment = Deployment::new(3, &[0, 1, 2]).await;
+    let outcomes = deployment.burst(300).await;
+    assert!(outcomes.iter().all(Result::is_ok), "{outcomes:?}");
+    let world = &deployment.world;
+    let jobs = world.jobs_of_our_own();
+    assert_eq!(jobs.len(), 1);
+    let status = world.ask(0, &jobs[0]).await;
+    assert_eq!(state(&status), Some(JobState::Running));
+    // Both replicas, each with its endpoint as soon as it answers.
+    sleep(Duration::from_secs(20)).await;
+    let endpoints = deployment.record()["state"]["active"]["stage"]["ready"]["endpoints"].clone();
+    assert_eq!(endpoints.as_array().map(Vec::len), Some(world.machines_with(&jobs[0])));
+    world.until("asleep", || deployment.record()["state"] == "asleep").await;
+    assert_eq!(world.jobs_of_our_own(), Vec::<String>::new());
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(world.machines_with(&jobs[0]), 0);
+    assert_eq!(state(&world.ask(1, &jobs[0]).await), Some(JobState::Cancelled));
+    no_rule_broken(world);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_owner_dies_which_also_leads_and_the_start_is_adopted() {
+    for after_ms in [5, 20, 50, 200, 1000, 4000] {
+        let deployment = Deployment::new(3, &[0, 1, 2]).await;
+        let burst = tokio::spawn({
+            let deployment = deployment.clone();
+            async move { deployment.burst(3).await }
+        });
+        sleep(Duration::from_millis(after_ms)).await;
+        let Some(owner) = deployment.owner() else {
+            burst.abort();
+            continue;
+        };
+        deployment.kill(owner);
+        let outcomes = deployment.burst(20).await;
+        assert!(outcomes.iter().all(Result::is_ok), "{after_ms} ms: {outcomes:?}");
+        assert_eq!(deployment.world.jobs_of_our_own().len(), 1, "{after_ms} ms");
+        assert_eq!(deployment.record()["generation"], 1, "{after_ms} ms");
+        no_rule_broken(&deployment.world);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_full_fleet_holds_requests_and_says_when_to_come_back() {
+    let deployment = Deployment::new(1, &[0, 1, 2]).await;
+    let world = &deployment.world;
+    world.no_more_machines();
+    let rival = json!({"Shape": "service", "Spokes": 1, "Rank": "production", "Gpus": 8.0});
+    world.submit(0, "j-000001", rival).await.expect("accepted");
+    sleep(Duration::from_secs(10)).await;
+    let began = Instant::now();
+    let outcomes = deployment.burst(3).await;
+    assert!(
+        outcomes
+            .iter()
+            .all(|o| matches!(o, Err(Refusal::Starting { .. } | Refusal::Failed { .. }))),
+        "{outcomes:?}"
+    );
+    // `hold_s`, or once the attempts are used up.
+    assert!(began.elapsed() <= Duration::from_secs(301), "{:?}", began.elapsed());
+    assert!(world.jobs_of_our_own().len() <= 1);
+    no_rule_broken(world);
+}
+
+#[tokio::test(start_paused = true)]
+async fn two_versions_side_by_side_share_one_start() {
+    // The third controller is of a version without this part, or has it switched off.
+    let deployment = Deployment::new(3, &[0, 1]).await;
+    let outcomes = deployment.burst(40).await;
+    assert!(outcomes.iter().all(Result::is_ok), "{outcomes:?}");
+    deployment.world.kill_node(2);
+    sleep(Duration::from_secs(5)).await;
+    deployment.start(2);
+    sleep(Duration::from_secs(10)).await;
+    let outcomes = deployment.burst(60).await;
+    assert!(outcomes.iter().all(Result::is_ok), "{outcomes:?}");
+    assert_eq!(deployment.world.jobs_of_our_own().len(), 1);
+    no_rule_broken(&deployment.world);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_of_our_own_is_fenced_and_a_users_job_is_left_alone() {
+    let world = World::new(2).await;
+    let node = world.node(0);
+    let spec = |id: &str| {
+        let body = job(id, json!({"Shape": "service", "Spokes": 1}));
+        JobSpec::parse(&body).expect("valid")
+    };
+    let put = |text: &str| {
+        let raw = serde_json::value::RawValue::from_string(text.into()).expect("json");
+        stonewheel::protocol::Write::Put { key: "sa/m/router".into(), value: raw, lease: None }
+    };
+    world.state.commit(Vec::new(), vec![put("1")]).expect("committed");
+    let fence =
+        || Condition { key: "sa/m/router".into(), version: world.state.version("sa/m/router") };
+    // A user's job has the id.
+    world.submit(1, "j-000007", json!({"Shape": "service", "Spokes": 1})).await.expect("accepted");
+    let reply = node.submit_owned(&spec("j-000007"), &fence(), "sa/j/j-000007").await;
+    assert_eq!(reply, Ok(OwnedReply::NameTaken));
+    let reply = node.withdraw_owned("j-000007", &fence(), "sa/j/j-000007").await;
+    assert_eq!(reply, Ok(OwnedReply::Done), "there is nothing of ours");
+    assert_eq!(state(&world.ask(1, "j-000007").await), Some(JobState::Pending));
+    // The record changes between the decision and the submission.
+    let old = fence();
+    world.state.commit(Vec::new(), vec![put("2")]).expect("committed");
+    let reply = node.submit_owned(&spec("j-000008"), &old, "sa/j/j-000008").await;
+    assert_eq!(reply, Ok(OwnedReply::Stale));
+    assert_eq!(state(&world.ask(1, "j-000008").await), None, "never accepted");
+    // The answer is lost, and the repeat finds the job.
+    world.state.mute("m-0", 1);
+    let marker = "sa/j/j-000009";
+    assert!(node.submit_owned(&spec("j-000009"), &fence(), marker).await.is_err());
+    let reply = node.submit_owned(&spec("j-000009"), &fence(), marker).await;
+    assert_eq!(reply, Ok(OwnedReply::Done));
+    let old = fence();
+    world.state.commit(Vec::new(), vec![put("3")]).expect("committed");
+    assert_eq!(node.withdraw_owned("j-000009", &old, marker).await, Ok(OwnedReply::Stale));
+    assert!(state(&world.ask(1, "j-000009").await) != Some(JobState::Cancelled));
+    world.state.mute("m-0", 1);
+    let unsure = node.withdraw_owned("j-000009", &fence(), marker).await;
+    assert!(unsure.is_err(), "{unsure:?}");
+    assert_eq!(node.withdraw_owned("j-000009", &fence(), marker).await, Ok(OwnedReply::Done));
+    assert_eq!(state(&world.ask(1, "j-000009").await), Some(JobState::Cancelled));
+    assert_eq!(world.state.value(marker), None);
+    // What can never run is said so.
+    let body = job("j-000010", json!({"Shape": "service", "Crew": "nobody"}));
+    let impossible = JobSpec::parse(&body).expect("valid");
+    let reply = node.submit_owned(&impossible, &fence(), "sa/j/j-000010").await;
+    assert_eq!(reply, Ok(OwnedReply::Impossible("no such team".into())));
+    no_rule_broken(&world);
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -25,6 +26,7 @@
     settings::{Member, NextStateLimits, Settings},
     store,
 };
+use stonewheel_activation::ActivationSettings;
 use tokio::{
     sync::Semaphore,
     time::{Instant, sleep},
@@ -221,10 +223,30 @@
     checker: Checker,
     /// Whether every second machine that is up from the start is in the second zone.
     spread: bool,
+    /// Models that scale to zero, for nodes that start from now on.
+    activation: Option<ActivationSettings>,
     /// How many times the usual settings' rates and sockets there are, if not once.
     scale: Option<f64>,
 }
 
+/// Where a machine's worker answers, as the cloud lists it.
+pub fn address_of(machine: &str) -> SocketAddr {
+    let number: u16 = machine.trim_start_matches("n-").parse().expect("a machine of the stand-in");
+    let [high, low] = number.to_be_bytes();
+    SocketAddr::from(([10, 1, high, low], 9000))
+}
+
+/// The machine at an address, which may be its name.
+pub fn machine_at(address: &str) -> MachineId {
+    match address.parse::<SocketAddr>() {
+        Ok(SocketAddr::V4(address)) => {
+            let [.., high, low] = address.ip().octets();
+            format!("n-{:06}", u16::from_be_bytes([high, low])).into()
+        }
+        _ => address.into(),
+    }
+}
+
 /// A whole deployment in memory.
 #[derive(Clone, Default)]
 pub struct World {
@@ -283,7 +305,7 @@
                     machine_type: "g8".into(),
                     zone: w.zone.clone(),
                     spot: w.spot,
-                    addr: id.to_string(),
+                    addr: address_of(id).to_string(),
                     state: MachineState::Running,
                     age_s: 0.0,
                 })
@@ -356,6 +378,24 @@
         world
     }
 
+    /// Nodes that start from now on know these models.
+    pub fn set_activation(&self, activation: Option<ActivationSettings>) {
+        lock(&self.site).activation = activation;
+    }
+
+    /// A node's stop token, for what runs beside it.
+    pub fn stop_token(&self, at: usize) -> CancellationToken {
+        lock(&self.site).nodes[at].as_ref().expect("it runs").1.child_token()
+    }
+
+    /// Whether a task of this job runs on a machine.
+    pub fn runs_on(&self, job: &str, machine: &str) -> bool {
+        let site = lock(&self.site);
+        let Some(worker) = site.workers.get(machine) else { return false };
+        let of_job = |task: &str| task.split('/').next() == Some(job);
+        worker.tasks.iter().any(|(task, on)| of_job(task) && on.state == TaskState::Running)
+    }
+
     pub fn add_machine(&self, zone: &str) {
         let name: MachineId = {
             let mut site = lock(&self.site);
@@ -457,6 +497,7 @@
         let workers = Arc::new(MemWorkers { world: self.clone(), at, sockets });
         // Machines stay long enough for a story to end.
         settings.operator.idle_boots = 10.0;
+        settings.operator.activation = lock(&self.site).activation.clone();
         settings.members = (0..3)
             .filter(|other| *other != at)
             .map(|other| Member {
@@ -891,7 +932,7 @@
         addr: &str,
         orders: DirectOrders,
     ) -> BoxFuture<'_, Result<Report, CallError>> {
-        let name: MachineId = addr.into();
+        let name = machine_at(addr);
         Box::pin(async move {
             let _socket = self.sockets.acquire().await;
             sleep(LATENCY).await;
