--- a/crates/stonewheel-activation/src/gateway.rs
+++ b/crates/stonewheel-activation/src/gateway.rs
@@ -16,13 +16,13 @@
     service::TowerToHyperService,
 };
 use serde::Serialize;
-use stonewheel_http_server::{ConnectionLimits, accept, serve_connection};
+use stonewheel_http_server::{ConnectionLimits, accept_each, serve_connection};
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     sync::Semaphore,
     time::{Duration, timeout},
 };
-use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tokio_util::sync::CancellationToken;
 use tracing::debug;
 use warp::{Filter, Rejection, Reply};
 
@@ -238,21 +238,12 @@
     let body_limit = settings.request_bytes();
     let gateway = Arc::new(Gateway::new(activator));
     let service = warp::service(routes(gateway, body_limit));
-    let connections = TaskTracker::new();
-    loop {
-        let slot = tokio::select! {
-            slot = slots.clone().acquire_owned() => slot,
-            () = stop.cancelled() => break,
-        };
-        let Some(stream) = accept(&listener, &stop).await else { break };
-        let _ = stream.set_nodelay(true);
+    let connection = move |stream: TcpStream, stop: CancellationToken| {
         let service = TowerToHyperService::new(service.clone());
-        let stop = stop.clone();
-        connections.spawn(async move {
+        async move {
+            let _ = stream.set_nodelay(true);
             serve_connection(stream, service, limits, stop).await;
-            drop(slot);
-        });
-    }
-    connections.close();
-    connections.wait().await;
+        }
+    };
+    accept_each(listener, slots, stop, connection).await;
 }
--- a/crates/stonewheel-http-server/src/lib.rs
+++ b/crates/stonewheel-http-server/src/lib.rs
@@ -2,7 +2,7 @@
 
 #![warn(missing_docs)]
 
-use std::{error::Error, io, net::SocketAddr, time::Duration};
+use std::{error::Error, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{
     Request, Response,
@@ -10,8 +10,11 @@
     service::Service,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio_util::sync::CancellationToken;
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::Semaphore,
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use tracing::debug;
 
 /// After a failed accept the next one waits so long.
@@ -28,7 +31,7 @@
 
 /// The next connection, or none once told to stop. A failed accept (no free
 /// sockets, a caller gone already) is tried again after a moment.
-pub async fn accept(listener: &TcpListener, stop: &CancellationToken) -> Option<TcpStream> {
+async fn accept(listener: &TcpListener, stop: &CancellationToken) -> Option<TcpStream> {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -44,6 +47,32 @@
     }
 }
 
+/// Accepts connections until told to stop, with a routine for each, no more at once
+/// than `slots` has room for; then waits for those that are left. Each routine gets
+/// the word to stop, and ends by itself.
+pub async fn accept_each<R: Future<Output = ()> + Send + 'static>(
+    listener: TcpListener,
+    slots: Arc<Semaphore>,
+    stop: CancellationToken,
+    routine: impl Fn(TcpStream, CancellationToken) -> R,
+) {
+    let connections = TaskTracker::new();
+    loop {
+        let slot = tokio::select! {
+            slot = slots.clone().acquire_owned() => slot,
+            () = stop.cancelled() => break,
+        };
+        let Some(stream) = accept(&listener, &stop).await else { break };
+        let serving = routine(stream, stop.clone());
+        connections.spawn(async move {
+            serving.await;
+            drop(slot);
+        });
+    }
+    connections.close();
+    connections.wait().await;
+}
+
 /// What one connection may take.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionLimits {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,4 +4,4 @@
 pub mod server;
 
 pub use stonewheel_http_client as client;
-pub use stonewheel_http_server::{accept, listen};
+pub use stonewheel_http_server::listen;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -7,9 +7,12 @@
 use http_body_util::Full;
 use hyper::{Request, body::Incoming, service::service_fn};
 use hyper_util::service::TowerToHyperService;
-use stonewheel_http_server::{ConnectionLimits, accept, serve_connection};
-use tokio::{net::TcpListener, sync::Semaphore};
-use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use stonewheel_http_server::{ConnectionLimits, accept_each, serve_connection};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
+use tokio_util::sync::CancellationToken;
 use warp::{
     Filter, Rejection, Reply,
     http::{HeaderValue, StatusCode, header},
@@ -194,17 +197,10 @@
     let bodies = Arc::new(BodyBudget::new(memory, node.settings.worker_lease() / 2));
     let limits = ConnectionLimits { header_time: idle, buffer: BODY_LIMIT / 4 };
     let service = warp::service(routes(node));
-    let connections = TaskTracker::new();
-    loop {
-        let slot = tokio::select! {
-            slot = slots.clone().acquire_owned() => slot,
-            () = stop.cancelled() => break,
-        };
-        let Some(stream) = accept(&listener, &stop).await else { break };
-        let _ = stream.set_nodelay(true);
+    let free = slots.clone();
+    let connection = move |stream: TcpStream, stop: CancellationToken| {
         let inner = TowerToHyperService::new(service.clone());
-        let free = slots.clone();
-        let bodies = bodies.clone();
+        let (free, bodies) = (free.clone(), bodies.clone());
         let service = service_fn(move |request: Request<Incoming>| {
             let sender = sender(&request);
             let gives_way = sender == Sender::Other && free.available_permits() < limit / SCARCE;
@@ -217,12 +213,10 @@
                 answer
             }
         });
-        let stop = stop.clone();
-        connections.spawn(async move {
+        async move {
+            let _ = stream.set_nodelay(true);
             serve_connection(stream, service, limits, stop).await;
-            drop(slot);
-        });
-    }
-    connections.close();
-    connections.wait().await;
+        }
+    };
+    accept_each(listener, slots, stop, connection).await;
 }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -16,6 +16,7 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
+use stonewheel_http_server::accept_each;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
@@ -24,12 +25,10 @@
 use tokio_util::{
     codec::{FramedRead, FramedWrite, LengthDelimitedCodec},
     sync::CancellationToken,
-    task::TaskTracker,
 };
 use tracing::warn;
 
 use crate::{
-    http::accept,
     lease_renewal::{KnownCancellations, Promises},
     node::Node,
     protocol::{Features, Heartbeat},
@@ -208,25 +207,16 @@
 /// Takes in the others' heartbeats.
 pub async fn listen(node: Arc<Node>, listener: TcpListener, stop: CancellationToken) {
     let slots = Arc::new(Semaphore::new(most_links(node.settings.members.len())));
-    let links = TaskTracker::new();
-    loop {
-        let slot = tokio::select! {
-            slot = slots.clone().acquire_owned() => slot,
-            () = stop.cancelled() => break,
-        };
-        let Some(stream) = accept(&listener, &stop).await else { break };
+    let link = |stream: TcpStream, stop: CancellationToken| {
         let node = node.clone();
-        let stop = stop.clone();
-        links.spawn(async move {
+        async move {
             tokio::select! {
                 () = hear(node, stream) => {}
                 () = stop.cancelled() => {}
             }
-            drop(slot);
-        });
-    }
-    links.close();
-    links.wait().await;
+        }
+    };
+    accept_each(listener, slots, stop, link).await;
 }
 
 async fn hear(node: Arc<Node>, stream: TcpStream) {
