activation.listen may be a port of the public address

Change: a port alone is taken at the address that users reach the controller by; a listener that can't be had is named in the log.

--- a/crates/stonewheel-activation/src/lib.rs
+++ b/crates/stonewheel-activation/src/lib.rs
@@ -25,7 +25,7 @@
 pub use gateway::serve;
 pub use holder::HolderUsage;
 pub use settings::{
-    ActivationSettings, ModelSettings, SectionError, Timing, is_section, parse_sections,
+    ActivationSettings, Listen, ModelSettings, SectionError, Timing, is_section, parse_sections,
 };
 pub use starter::{ReplicaOrder, ReplicaStarter, Replicas, StarterError};
 pub use store::Store;
--- a/crates/stonewheel-activation/src/settings.rs
+++ b/crates/stonewheel-activation/src/settings.rs
@@ -1,7 +1,11 @@
 //! The operators' settings of this part: a section `activation`, and one
 //! `model NAME` for each model.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use garde::Validate;
 use thiserror::Error;
@@ -41,12 +45,37 @@
     pub state_timeout: Duration,
 }
 
+/// Where requests to models are taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listen {
+    /// At this port of the address that users reach the controller by: the same file
+    /// serves all controllers.
+    Port(u16),
+    /// At this very address.
+    Address(SocketAddr),
+}
+
+impl Listen {
+    fn parse(text: &str) -> Option<Self> {
+        let port = text.parse().map(Self::Port).ok();
+        port.or_else(|| text.parse().map(Self::Address).ok())
+    }
+
+    /// The address, for a controller that users reach at `public`.
+    pub fn address(self, public: IpAddr) -> SocketAddr {
+        match self {
+            Self::Port(port) => SocketAddr::new(public, port),
+            Self::Address(address) => address,
+        }
+    }
+}
+
 /// What holds for all models.
 #[derive(Clone, Debug, PartialEq, Validate)]
 pub struct ActivationSettings {
     /// Where requests to models are taken.
     #[garde(skip)]
-    pub listen: std::net::SocketAddr,
+    pub listen: Listen,
     /// Requests that one controller holds at once.
     #[garde(range(min = 1.0, max = 1e6))]
     pub hold_requests: f64,
@@ -332,7 +361,8 @@
 
 fn general(mut section: Section<'_>) -> Result<ActivationSettings, SectionError> {
     let listen = section.text("listen", None)?;
-    let listen = listen.parse().map_err(|_| section.error("listen", "must be address:port"))?;
+    let listen = Listen::parse(&listen)
+        .ok_or_else(|| section.error("listen", "must be a port or address:port"))?;
     let settings = ActivationSettings {
         listen,
         hold_requests: section.number("hold_requests", Some(1000.0))?,
--- a/crates/stonewheel-activation/src/settings/tests.rs
+++ b/crates/stonewheel-activation/src/settings/tests.rs
@@ -46,6 +46,15 @@
     assert_eq!(parse(vec![("scheduler", vec![])]), Ok(None), "not switched on");
 }
 
+#[test]
+fn one_file_serves_all_controllers() {
+    let public = "10.0.0.3".parse().expect("an address");
+    let listen = |text| Listen::parse(text).map(|listen| listen.address(public).to_string());
+    assert_eq!(listen("8090").as_deref(), Some("10.0.0.3:8090"));
+    assert_eq!(listen("127.0.0.1:8090").as_deref(), Some("127.0.0.1:8090"));
+    assert_eq!(listen("70000"), None);
+}
+
 #[test]
 fn each_mistake_in_a_section_is_named() {
     let general = [
--- a/crates/stonewheel-activation/tests/common/mod.rs
+++ b/crates/stonewheel-activation/tests/common/mod.rs
@@ -14,7 +14,7 @@
 
 use farm::Farm;
 use stonewheel_activation::{
-    ActivationSettings, Activator, ModelSettings, Refusal, Store, Timing, parse_sections,
+    ActivationSettings, Activator, Listen, ModelSettings, Refusal, Store, Timing, parse_sections,
     record::{ActivationRecord, Owner, record_key},
 };
 use stonewheel_standins::MemState;
@@ -60,7 +60,7 @@
 
 pub fn settings(models: &[(&str, ModelSettings)]) -> ActivationSettings {
     ActivationSettings {
-        listen: "127.0.0.1:0".parse().expect("an address"),
+        listen: Listen::Port(0),
         hold_requests: 2000.0,
         hold_kb: 4096.0,
         request_kb: 64.0,
--- a/src/main.rs
+++ b/src/main.rs
@@ -73,7 +73,10 @@
         let stop = CancellationToken::new();
         let parts = TaskTracker::new();
         if let Some(activator) = activation::activator(&node, probe, seed) {
-            let listener = TcpListener::bind(activator.settings().listen).await?;
+            let address = activator.settings().listen.address(public.local_addr()?.ip());
+            let listener = TcpListener::bind(address).await.inspect_err(|error| {
+                tracing::error!(%address, %error, "activation.listen can't be had");
+            })?;
             parts.spawn(activator.clone().run(stop.clone()));
             parts.spawn(stonewheel_activation::serve(activator, listener, stop.clone()));
         }
