Sessions, shared records and fenced writes in a package for all parts

Need: stepped rollout and operations need the same session, watch and writes as the activator; each with its own would cost the state service as much again.

The activator keeps its models only.

Measured: the same stories, explorations and loopback tests pass.

--- a/crates/stonewheel-activation/src/activator.rs
+++ b/crates/stonewheel-activation/src/activator.rs
@@ -8,13 +8,11 @@
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use serde::Serialize;
+use stonewheel_coordination::{Coordinator, Versioned, put};
 use stonewheel_protocol::{Condition, Write};
-use stonewheel_state::{StateError, lock};
+use stonewheel_state::lock;
 use thiserror::Error;
-use tokio::{
-    sync::Notify,
-    time::{Duration, Instant, sleep, sleep_until, timeout, timeout_at},
-};
+use tokio::time::{Duration, Instant, sleep_until, timeout_at};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use tracing::{debug, info, warn};
 
@@ -22,21 +20,11 @@
     holder::{HeldRoom, Holder, HolderUsage},
     model::{AttemptId, Availability, InProgress, Model, Plan, Situation},
     planner::{Observed, Requested, Step},
-    record::{
-        ActivationRecord, ModelState, Owner, Session, Stage, UseMarker, record_key, session_key,
-        use_key,
-    },
-    registry::{Concern, Registry, Versioned},
-    session::{HeldSession, valid_until},
-    settings::{ActivationSettings, Timing},
+    record::{ActivationRecord, ModelState, Stage, UseMarker, record_key, use_key},
+    settings::ActivationSettings,
     starter::{ReplicaOrder, ReplicaStarter, Replicas, StarterError},
-    store::{self, Store},
 };
 
-/// A session is renewed so many times within its lease.
-const RENEWALS: u32 = 3;
-/// What failed is tried again after this part of a call's time.
-const PAUSE_PARTS: u32 = 4;
 /// Digits of a job's id: as many as the records of ended jobs pack well.
 const JOB_DIGITS: usize = 17;
 
@@ -118,29 +106,19 @@
 
 /// The activator of one controller.
 pub struct Activator {
-    me: Owner,
-    members: Vec<String>,
+    coordinator: Arc<Coordinator>,
     settings: ActivationSettings,
-    timing: Timing,
-    store: Store,
     starter: Arc<dyn ReplicaStarter>,
-    registry: Mutex<Registry>,
-    session: Mutex<Option<HeldSession>>,
-    session_lost: Notify,
     holder: Holder,
     models: BTreeMap<String, Arc<Model>>,
     rng: Mutex<StdRng>,
 }
 
 impl Activator {
-    /// `me`: this process. `members`: the names of all controllers, this one among
-    /// them.
+    /// Over the coordination of this controller, which runs apart from this.
     pub fn new(
-        me: Owner,
-        members: Vec<String>,
+        coordinator: Arc<Coordinator>,
         settings: ActivationSettings,
-        timing: Timing,
-        store: Store,
         starter: Arc<dyn ReplicaStarter>,
         seed: u64,
     ) -> Arc<Self> {
@@ -148,17 +126,11 @@
             (name.clone(), Arc::new(Model::new(name.clone(), model.clone())))
         };
         Arc::new(Self {
-            me,
-            members,
+            coordinator,
             holder: Holder::new(settings.hold_requests as usize, settings.hold_bytes()),
             models: settings.models.iter().map(model).collect(),
             settings,
-            timing,
-            store,
             starter,
-            registry: Mutex::default(),
-            session: Mutex::new(None),
-            session_lost: Notify::new(),
             rng: Mutex::new(StdRng::seed_from_u64(seed)),
         })
     }
@@ -168,21 +140,14 @@
         &self.settings
     }
 
-    /// Runs until told to stop, and then gives its session back, so that others go
-    /// on at once with what it owned.
+    /// Runs until told to stop.
     pub async fn run(self: Arc<Self>, stop: CancellationToken) {
         let duties = TaskTracker::new();
-        duties.spawn(until(stop.clone(), self.clone().watch_records()));
-        duties.spawn(until(stop.clone(), self.clone().keep_session()));
         for model in self.models.values() {
             duties.spawn(until(stop.clone(), self.clone().drive(model.clone())));
         }
         duties.close();
         duties.wait().await;
-        let held = lock(&self.session).take();
-        if let Some(session) = held {
-            let _ = timeout(self.timing.state_timeout, self.store.drop_lease(session.lease)).await;
-        }
     }
 
     // Requests.
@@ -221,8 +186,7 @@
         now: Instant,
     ) -> Option<Result<Admission, Refusal>> {
         let unknowable = || {
-            // Sessions are renewed that often.
-            let retry_after = self.timing.session / RENEWALS;
+            let retry_after = self.coordinator.renewal_interval();
             Some(Err(Refusal::Unknowable { retry_after }))
         };
         match availability {
@@ -244,7 +208,7 @@
     }
 
     fn may_forward(&self, now: Instant) -> bool {
-        let session = *lock(&self.session);
+        let session = self.coordinator.session();
         session.is_some_and(|session| now < session.valid_until + self.settings.outage())
     }
 
@@ -255,10 +219,10 @@
 
     /// What operators see of the models.
     pub fn statuses(&self) -> Vec<ModelStatus> {
-        let registry = lock(&self.registry);
+        let records = self.coordinator.records();
         let status = |model: &Arc<Model>| ModelStatus {
             model: model.name.clone(),
-            record: registry.record(&model.name).value,
+            record: model.record(&records).value,
             held: model.held(),
             in_progress: model.in_progress(),
             known: model.availability() != Availability::Unknown,
@@ -266,184 +230,19 @@
         self.models.values().map(status).collect()
     }
 
-    // Records.
-
-    fn pause(&self) -> Duration {
-        self.timing.state_timeout / PAUSE_PARTS
-    }
-
-    async fn load(&self) -> Result<(), StateError> {
-        let (items, began) = self.store.read_all().await?;
-        let since = self.store.follow(began, Duration::ZERO).await?;
-        lock(&self.registry).replace(items, began, since);
-        self.note_concerns(&[Concern::Sessions]);
-        Ok(())
-    }
-
-    async fn watch_records(self: Arc<Self>) {
-        loop {
-            let (loaded, revision) = {
-                let registry = lock(&self.registry);
-                (registry.loaded, registry.revision)
-            };
-            let result = if loaded {
-                self.store.follow(revision, self.timing.session).await.map(|events| {
-                    let concerns = lock(&self.registry).apply(events);
-                    self.note_concerns(&concerns);
-                })
-            } else {
-                self.load().await
-            };
-            match result {
-                Ok(()) => {}
-                Err(StateError::TooOld) => lock(&self.registry).loaded = false,
-                Err(error) => {
-                    debug!(%error, "activation records can't be read");
-                    sleep(self.pause()).await;
-                }
-            }
-        }
-    }
-
-    /// Reads what changed, if that can be had, and pauses otherwise.
-    async fn refresh(&self) {
-        let revision = lock(&self.registry).revision;
-        match self.store.follow(revision, Duration::ZERO).await {
-            Ok(events) => {
-                let concerns = lock(&self.registry).apply(events);
-                self.note_concerns(&concerns);
-            }
-            Err(StateError::TooOld) => lock(&self.registry).loaded = false,
-            Err(_) => {}
-        }
-        sleep(self.pause()).await;
-    }
-
-    fn note_concerns(&self, concerns: &[Concern]) {
-        for concern in concerns {
-            match concern {
-                Concern::Model(name) => {
-                    if let Some(model) = self.models.get(name) {
-                        model.changed.notify_one();
-                    }
-                }
-                Concern::Sessions => {
-                    self.check_session();
-                    self.wake_models();
-                }
-            }
-        }
-    }
-
-    fn wake_models(&self) {
-        for model in self.models.values() {
-            model.changed.notify_one();
-        }
-    }
-
-    // Session.
-
-    /// Gives up a session that the records say is gone.
-    fn check_session(&self) {
-        let version = lock(&self.registry).session_version(&self.me.member);
-        let mut session = lock(&self.session);
-        if session.is_some_and(|session| session.version != version) {
-            *session = None;
-            self.session_lost.notify_one();
-        }
-    }
-
-    fn lose_session(&self, lease: u64) {
-        let mut session = lock(&self.session);
-        if session.is_some_and(|session| session.lease == lease) {
-            *session = None;
-            self.session_lost.notify_one();
-        }
-        drop(session);
-        self.wake_models();
-    }
-
-    async fn keep_session(self: Arc<Self>) {
-        loop {
-            match self.open_session().await {
-                Ok(session) => {
-                    self.wake_models();
-                    self.renew_session(session).await;
-                    warn!("the activation session was lost");
-                    self.wake_models();
-                }
-                Err(error) => {
-                    debug!(%error, "no activation session");
-                    self.refresh().await;
-                }
-            }
-        }
-    }
-
-    async fn open_session(&self) -> Result<HeldSession, StateError> {
-        while !lock(&self.registry).loaded {
-            sleep(self.pause()).await;
-        }
-        let asked = Instant::now();
-        let lease = self.store.lease(self.timing.session).await?;
-        let key = session_key(&self.me.member);
-        let version = lock(&self.registry).session_version(&self.me.member);
-        let value = Session { incarnation: self.me.incarnation };
-        let writes = vec![store::put(key.clone(), &value, Some(lease))?];
-        let version = match self.commit(vec![Condition { key, version }], writes).await {
-            Ok(version) => version,
-            Err(error) => {
-                self.store.drop_lease(lease).await;
-                return Err(error);
-            }
-        };
-        let valid_until = valid_until(asked, self.timing.session);
-        let session = HeldSession { lease, version, valid_until };
-        *lock(&self.session) = Some(session);
-        Ok(session)
-    }
-
-    /// Renews the session until it is lost.
-    async fn renew_session(&self, session: HeldSession) {
-        let every = self.timing.session / RENEWALS;
-        let mut wait = every;
-        loop {
-            // A word of an earlier loss may come here, and is no loss of this one.
-            let _ = timeout(wait, self.session_lost.notified()).await;
-            if lock(&self.session).is_none_or(|held| held.lease != session.lease) {
-                return;
-            }
-            let asked = Instant::now();
-            wait = every;
-            match self.store.touch(session.lease).await {
-                Ok(()) => {
-                    if let Some(held) = lock(&self.session).as_mut() {
-                        held.valid_until = valid_until(asked, self.timing.session);
-                    }
-                    self.wake_models();
-                }
-                Err(StateError::NoLease) => {
-                    *lock(&self.session) = None;
-                    return;
-                }
-                Err(error) => {
-                    debug!(%error, "the activation session is not renewed");
-                    wait = every / PAUSE_PARTS;
-                }
-            }
-        }
-    }
-
     // Models.
 
     async fn drive(self: Arc<Self>, model: Arc<Model>) {
+        let mut changes = self.coordinator.subscribe();
         loop {
+            changes.mark_unchanged();
             let Plan { step, record, availability, wake_at } = self.plan(&model);
             model.publish(availability);
             match step {
                 Step::Wait => {
                     tokio::select! {
                         () = model.changed.notified() => {}
+                        _ = changes.changed() => {}
                         () = sleep_until(wake_at) => {}
                     }
                 }
@@ -464,38 +263,19 @@
             let mut rng = lock(&self.rng);
             (new_job(&mut rng), rng.random_range(0.0..1.0))
         };
-        let session = *lock(&self.session);
+        let session = self.coordinator.session();
         model.plan(&Situation {
-            me: &self.me,
-            registry: &lock(&self.registry),
+            me: self.coordinator.me(),
+            records: &self.coordinator.records(),
             session,
             settings: &self.settings,
-            session_ttl: self.timing.session,
+            session_ttl: self.coordinator.timing().session,
             new_job: &new_job,
             jitter,
             now: Instant::now(),
         })
     }
 
-    /// Commits, and notes what was committed. What happened otherwise shows in the
-    /// records.
-    async fn commit(
-        &self,
-        conditions: Vec<Condition>,
-        writes: Vec<Write>,
-    ) -> Result<u64, StateError> {
-        let revision = self.store.commit(conditions, writes.clone()).await?;
-        lock(&self.registry).note(&writes, revision);
-        Ok(revision)
-    }
-
-    /// That this process holds the session under which it decided.
-    fn session_condition(&self) -> Option<(HeldSession, Condition)> {
-        let session = (*lock(&self.session))?;
-        let key = session_key(&self.me.member);
-        Some((session, Condition { key, version: session.version }))
-    }
-
     async fn write(
         &self,
         model: &Model,
@@ -503,64 +283,59 @@
         to: ActivationRecord,
         unless_used: bool,
     ) {
-        let Some((_, session)) = self.session_condition() else { return };
+        let Some(session) = self.coordinator.session() else { return };
         let key = record_key(&model.name);
-        let mut conditions = vec![session, Condition { key: key.clone(), version: from.version }];
+        let mut conditions = vec![Condition { key: key.clone(), version: from.version }];
         if unless_used {
             // A request that passes anywhere has its controller's marker.
             let unused =
                 |member: &String| Condition { key: use_key(&model.name, member), version: 0 };
-            conditions.extend(self.members.iter().map(unused));
+            conditions.extend(self.coordinator.members().iter().map(unused));
         }
-        let Ok(put) = store::put(key, &to, None) else { return };
-        match self.commit(conditions, vec![put]).await {
+        let Ok(put) = put(key, &to, None) else { return };
+        match self.coordinator.commit_under(session, conditions, vec![put]).await {
             Ok(_) => tell(&model.name, &from.value, &to),
             Err(error) => {
                 debug!(model = model.name, %error, "an activation record was not written");
-                self.refresh().await;
+                self.coordinator.refresh().await;
             }
         }
     }
 
     async fn mark_use(&self, model: &Model, version: u64) {
-        let Some((held, session)) = self.session_condition() else { return };
-        let key = use_key(&model.name, &self.me.member);
-        let known = lock(&self.registry)
-            .use_marker(&model.name, &self.me.member)
-            .map_or(0, |marker| marker.version);
+        let Some(session) = self.coordinator.session() else { return };
+        let key = self.use_key(model);
+        let known = self.coordinator.records().version(&key);
         let conditions = vec![
-            session,
             Condition { key: record_key(&model.name), version },
             Condition { key: key.clone(), version: known },
         ];
-        let Ok(put) = store::put(key, &UseMarker { lease: held.lease }, Some(held.lease)) else {
-            return;
-        };
-        match self.commit(conditions, vec![put]).await {
-            Ok(_) => {}
-            Err(StateError::NoLease) => self.lose_session(held.lease),
-            Err(_) => self.refresh().await,
+        let marker = UseMarker { lease: session.lease };
+        let Ok(put) = put(key, &marker, Some(session.lease)) else { return };
+        if self.coordinator.commit_under(session, conditions, vec![put]).await.is_err() {
+            self.coordinator.refresh().await;
         }
     }
 
     async fn drop_use(&self, model: &Model) {
-        let key = use_key(&model.name, &self.me.member);
-        let marker = lock(&self.registry)
-            .use_marker(&model.name, &self.me.member)
-            .map(|marker| marker.version);
-        let Some(version) = marker else { return };
+        let key = self.use_key(model);
+        let version = self.coordinator.records().version(&key);
         // Requests that come while the marker goes are held: none passes once this
         // controller may be without it.
         model.publish(Availability::Waking);
         let condition = Condition { key: key.clone(), version };
-        if self.commit(vec![condition], vec![Write::Delete { key }]).await.is_err() {
+        if self.coordinator.commit(vec![condition], vec![Write::Delete { key }]).await.is_err() {
             // It may still be deleted at any later time, so it stands for nothing
             // until it is written anew.
             model.distrust_marker(version);
-            self.refresh().await;
+            self.coordinator.refresh().await;
         }
     }
 
+    fn use_key(&self, model: &Model) -> String {
+        use_key(&model.name, &self.coordinator.me().member)
+    }
+
     fn order(&self, model: &Model, record: &Versioned<ActivationRecord>) -> Option<ReplicaOrder> {
         let activation = record.value.activation()?;
         Some(ReplicaOrder {
@@ -584,7 +359,7 @@
             }
             Err(error) => {
                 debug!(model = model.name, %error, "start");
-                self.refresh().await;
+                self.coordinator.refresh().await;
             }
         }
     }
@@ -609,7 +384,7 @@
             Ok(()) => model.note_stopped(AttemptId::of(&record.value)),
             Err(error) => {
                 debug!(model = model.name, %error, "stop");
-                self.refresh().await;
+                self.coordinator.refresh().await;
             }
         }
     }
--- a/crates/stonewheel-activation/src/lib.rs
+++ b/crates/stonewheel-activation/src/lib.rs
@@ -15,17 +15,13 @@
 mod model;
 pub mod planner;
 pub mod record;
-mod registry;
-mod session;
 mod settings;
 mod starter;
-mod store;
 
 pub use activator::{Activator, Admission, ModelStatus, Refusal, members_fit};
 pub use gateway::serve;
 pub use holder::HolderUsage;
 pub use settings::{
-    ActivationSettings, Listen, ModelSettings, SectionError, Timing, is_section, parse_sections,
+    ActivationSettings, Listen, ModelSettings, SectionError, is_section, parse_sections,
 };
 pub use starter::{ReplicaOrder, ReplicaStarter, Replicas, StarterError};
-pub use store::Store;
--- a/crates/stonewheel-activation/src/model.rs
+++ b/crates/stonewheel-activation/src/model.rs
@@ -6,6 +6,7 @@
     atomic::{AtomicU64, AtomicUsize, Ordering},
 };
 
+use stonewheel_coordination::{HeldSession, Owner, Records, Versioned};
 use stonewheel_state::lock;
 use tokio::{
     sync::{Notify, watch},
@@ -14,9 +15,7 @@
 
 use crate::{
     planner::{Facts, Observed, Requested, Step, Timers, decide},
-    record::{ActivationRecord, ModelState, Owner, Stage, UseMarker},
-    registry::{Registry, Versioned},
-    session::HeldSession,
+    record::{ActivationRecord, ModelState, Stage, UseMarker, record_key, use_key, use_prefix},
     settings::{ActivationSettings, ModelSettings},
 };
 
@@ -49,7 +48,7 @@
 /// What a controller brings to a plan besides the model's own state.
 pub(crate) struct Situation<'a> {
     pub me: &'a Owner,
-    pub registry: &'a Registry,
+    pub records: &'a Records,
     pub session: Option<HeldSession>,
     pub settings: &'a ActivationSettings,
     pub session_ttl: Duration,
@@ -285,26 +284,32 @@
         }
     }
 
+    /// The model's record, or that of one which never woke, whose version is 0.
+    pub fn record(&self, records: &Records) -> Versioned<ActivationRecord> {
+        let never = || Versioned { version: 0, value: ActivationRecord::default() };
+        records.get(&record_key(&self.name)).unwrap_or_else(never)
+    }
+
     /// What to do now.
     pub fn plan(&self, situation: &Situation<'_>) -> Plan {
-        let Situation { me, registry, session, now, .. } = *situation;
-        let record = registry.record(&self.name);
+        let Situation { me, records, session, now, .. } = *situation;
+        let record = self.record(records);
         let mut progress = lock(&self.progress);
         progress.follow(&record.value, situation.jitter, now);
         let owner_alive =
-            record.value.activation().is_none_or(|activation| registry.lives(&activation.owner));
+            record.value.activation().is_none_or(|activation| records.lives(&activation.owner));
         if owner_alive {
             progress.owner_gone_since = None;
         } else {
             progress.owner_gone_since.get_or_insert(now);
         }
         let marked = session.is_some_and(|session| {
-            let marker = registry.use_marker(&self.name, &me.member);
+            let marker = records.get::<UseMarker>(&use_key(&self.name, &me.member));
             let distrusted = self.distrusted_marker.load(Ordering::Relaxed);
             let ours = |marker: &Versioned<UseMarker>| {
                 marker.value.lease == session.lease && marker.version > distrusted
             };
-            marker.is_some_and(ours)
+            marker.as_ref().is_some_and(ours)
         });
         let deadlines = self.deadlines(&progress, situation);
         let timers = deadlines.over(now);
@@ -313,13 +318,13 @@
         let facts = Facts {
             me,
             record: &record.value,
-            session_valid: registry.loaded
+            session_valid: records.loaded()
                 && session.is_some_and(|session| now < session.valid_until),
             owner_alive,
             wanted: self.held() > 0,
             marked,
             idle_here: quiet && now >= idle_at,
-            used: registry.used(&self.name),
+            used: records.names(&use_prefix(&self.name)).next().is_some(),
             requested: &progress.requested,
             observed: &progress.observed,
             stopped: progress.stopped,
@@ -335,11 +340,8 @@
 
     fn deadlines(&self, progress: &Progress, situation: &Situation<'_>) -> Deadlines {
         let after = |since: Instant, seconds: f64| since + Duration::from_secs_f64(seconds);
-        let members = situation.registry.live_members();
-        let rank =
-            members.iter().take_while(|member| **member < situation.me.member.as_str()).count();
-        let step = situation.session_ttl / ADOPTION_PARTS;
-        let pause = step * u32::try_from(rank).unwrap_or(u32::MAX);
+        let rank = situation.records.rank(&situation.me.member);
+        let pause = situation.session_ttl / ADOPTION_PARTS * rank;
         // Half of the pause at least, and all of it at most.
         let backoff = self.settings.backoff(progress.attempt.attempt);
         let backoff = backoff.mul_f64(0.5 + progress.jitter / 2.0);
--- a/crates/stonewheel-activation/src/planner.rs
+++ b/crates/stonewheel-activation/src/planner.rs
@@ -12,7 +12,9 @@
 //! - a model begins to drain only while no use marker exists, and a use marker is
 //!   written only while the model is ready.
 
-use crate::record::{Activation, ActivationRecord, AfterStop, ModelState, Owner, Stage};
+use stonewheel_coordination::Owner;
+
+use crate::record::{Activation, ActivationRecord, AfterStop, ModelState, Stage};
 
 /// What the replicas were seen to do, by the owner and in this attempt.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
--- a/crates/stonewheel-activation/src/record.rs
+++ b/crates/stonewheel-activation/src/record.rs
@@ -2,50 +2,31 @@
 //!
 //! | key | value | held by |
 //! | --- | --- | --- |
-//! | `sa/m/{model}` | [`ActivationRecord`] | nobody: it outlives all controllers |
-//! | `sa/c/{member}` | [`Session`] of a controller | that controller's lease |
-//! | `sa/u/{model}/{member}` | [`UseMarker`]: it forwards requests to the model | the same lease |
-//! | `sa/j/{job}` | the replica starter's proof that a job is ours | until the job is stopped |
+//! | `sp/a/m/{model}` | [`ActivationRecord`] | nobody: it outlives all controllers |
+//! | `sp/a/u/{model}/{member}` | [`UseMarker`]: the controller forwards requests to the model | its session's lease |
+//! | `sp/a/j/{job}` | the replica starter's proof that a job is ours | until the job is stopped |
 
 use serde::{Deserialize, Serialize};
-
-/// All keys of this part begin with this.
-pub const PREFIX: &str = "sa/";
+use stonewheel_coordination::Owner;
 
 /// The key of a model's record.
 pub fn record_key(model: &str) -> String {
-    format!("sa/m/{model}")
+    format!("sp/a/m/{model}")
 }
 
-/// The key of a controller's session.
-pub fn session_key(member: &str) -> String {
-    format!("sa/c/{member}")
+/// What the keys of all use markers of a model begin with.
+pub fn use_prefix(model: &str) -> String {
+    use_key(model, "")
 }
 
 /// The key of a controller's use marker for a model.
 pub fn use_key(model: &str, member: &str) -> String {
-    format!("sa/u/{model}/{member}")
+    format!("sp/a/u/{model}/{member}")
 }
 
 /// The key that marks a job as started for a model.
 pub fn job_key(job: &str) -> String {
-    format!("sa/j/{job}")
-}
-
-/// One process of a controller.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Owner {
-    /// The controller's name.
-    pub member: String,
-    /// Drawn at each start, so that a process isn't taken for its predecessor.
-    pub incarnation: u64,
-}
-
-/// A controller's proof of life, attached to its lease.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Session {
-    /// Which process of the controller holds it.
-    pub incarnation: u64,
+    format!("sp/a/j/{job}")
 }
 
 /// A controller forwards requests to a model; attached to its lease.
@@ -154,3 +135,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/stonewheel-activation/src/settings.rs
+++ b/crates/stonewheel-activation/src/settings.rs
@@ -36,15 +36,6 @@
     pub reason: String,
 }
 
-/// What follows from the settings of the deployment.
-#[derive(Clone, Copy, Debug)]
-pub struct Timing {
-    /// How long a controller's session outlives its last renewal.
-    pub session: Duration,
-    /// How long one call to the state service may take.
-    pub state_timeout: Duration,
-}
-
 /// Where requests to models are taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listen {
--- a/crates/stonewheel-activation/tests/common/controllers.rs
+++ b/crates/stonewheel-activation/tests/common/controllers.rs
@@ -8,9 +8,8 @@
     time::Duration,
 };
 
-use stonewheel_activation::{
-    ActivationSettings, Activator, ReplicaStarter, Store, Timing, record::Owner, serve,
-};
+use stonewheel_activation::{ActivationSettings, Activator, ReplicaStarter, serve};
+use stonewheel_coordination::{Coordinator, Owner, Store, Timing};
 use stonewheel_standins::MemState;
 use stonewheel_state::{Budget, Writer, WriterLimits};
 use tokio::{net::TcpListener, sync::mpsc as commands};
@@ -64,15 +63,14 @@
                 let writer = Arc::new(Writer::new(api.clone(), limits, requests.clone()));
                 let stop = CancellationToken::new();
                 tokio::spawn(writer.clone().run(stop.clone()));
-                let activator = Activator::new(
+                let coordinator = Coordinator::new(
                     Owner { member: format!("m-{at}"), incarnation: at as u64 },
                     (0..size).map(|at| format!("m-{at}")).collect(),
-                    settings,
                     Timing { session, state_timeout: timeout },
                     Store::new(api, requests, writer),
-                    starter,
-                    at as u64,
                 );
+                tokio::spawn(coordinator.clone().run(stop.clone()));
+                let activator = Activator::new(coordinator, settings, starter, at as u64);
                 let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
                 tell.send(listener.local_addr().expect("an address")).expect("somebody waits");
                 tokio::spawn(activator.clone().run(stop.clone()));
--- a/crates/stonewheel-activation/tests/common/loopback.rs
+++ b/crates/stonewheel-activation/tests/common/loopback.rs
@@ -110,7 +110,7 @@
     /// The controller that owns the start, by the record.
     pub async fn owner(&self) -> usize {
         loop {
-            if let Some(text) = self.deployment.state.value("sa/m/router") {
+            if let Some(text) = self.deployment.state.value("sp/a/m/router") {
                 let record: serde_json::Value = serde_json::from_str(&text).expect("a record");
                 let member = record["state"]["active"]["owner"]["member"].as_str();
                 if let Some(at) = member.and_then(|member| member.strip_prefix("m-")?.parse().ok())
--- a/crates/stonewheel-activation/tests/common/mod.rs
+++ b/crates/stonewheel-activation/tests/common/mod.rs
@@ -14,9 +14,10 @@
 
 use farm::Farm;
 use stonewheel_activation::{
-    ActivationSettings, Activator, Listen, ModelSettings, Refusal, Store, Timing, parse_sections,
-    record::{ActivationRecord, Owner, record_key},
+    ActivationSettings, Activator, Listen, ModelSettings, Refusal, parse_sections,
+    record::{ActivationRecord, record_key},
 };
+use stonewheel_coordination::{Coordinator, Owner, Store, Timing};
 use stonewheel_standins::MemState;
 use stonewheel_state::{Budget, Writer, WriterLimits};
 use tokio::time::{Instant, sleep};
@@ -145,15 +146,15 @@
         let writer = Arc::new(Writer::new(api.clone(), limits, requests.clone()));
         let stop = CancellationToken::new();
         tokio::spawn(writer.clone().run(stop.clone()));
-        let activator = Activator::new(
+        let coordinator = Coordinator::new(
             Owner { member: format!("m-{at}"), incarnation: seed },
             (0..self.size).map(|at| format!("m-{at}")).collect(),
-            self.settings.clone(),
             Timing { session: SESSION, state_timeout: Duration::from_secs(1) },
             Store::new(api, requests, writer),
-            self.farm.client(&client),
-            seed,
         );
+        tokio::spawn(coordinator.clone().run(stop.clone()));
+        let starter = self.farm.client(&client);
+        let activator = Activator::new(coordinator, self.settings.clone(), starter, seed);
         tokio::spawn(activator.clone().run(stop.clone()));
         let running = Running { activator: activator.clone(), stop, client };
         self.running.lock().expect("not poisoned").insert(at, running);
--- a/crates/stonewheel-activation/tests/exploration.rs
+++ b/crates/stonewheel-activation/tests/exploration.rs
@@ -11,8 +11,9 @@
 
 use stonewheel_activation::{
     planner::{Facts, Observed, Requested, Step, Timers, decide},
-    record::{ActivationRecord, Owner},
+    record::ActivationRecord,
 };
+use stonewheel_coordination::Owner;
 
 const NODES: usize = 2;
 const ATTEMPTS: u32 = 2;
--- a/crates/stonewheel-activation/tests/properties.rs
+++ b/crates/stonewheel-activation/tests/properties.rs
@@ -3,8 +3,9 @@
 use proptest::prelude::*;
 use stonewheel_activation::{
     planner::{Facts, Observed, Requested, Step, Timers, decide},
-    record::{Activation, ActivationRecord, AfterStop, ModelState, Owner, Stage},
+    record::{Activation, ActivationRecord, AfterStop, ModelState, Stage},
 };
+use stonewheel_coordination::Owner;
 
 fn owner(number: u64) -> Owner {
     Owner { member: format!("m-{number}"), incarnation: number }
--- a/crates/stonewheel-activation/tests/stories.rs
+++ b/crates/stonewheel-activation/tests/stories.rs
@@ -433,9 +433,9 @@
 #[tokio::test(start_paused = true)]
 async fn unknown_models_are_refused_and_touch_no_record() {
     let fleet = Fleet::with_router(1).await;
-    let before = fleet.state.keys("sa/");
+    let before = fleet.state.keys("sp/a/");
     assert_eq!(fleet.request(0, "nobody").await, Outcome::Refused(Refusal::UnknownModel));
-    assert_eq!(fleet.state.keys("sa/"), before);
+    assert_eq!(fleet.state.keys("sp/a/"), before);
 }
 
 #[tokio::test(start_paused = true)]
--- /dev/null
+++ b/crates/stonewheel-coordination/src/lib.rs
@@ -0,0 +1,24 @@
+//! What parts of several controllers agree through: each controller's session, the
+//! records that they share, and writes that are refused once their writer was replaced.
+//!
+//! All keys begin with [`PREFIX`], so that one watch and one session serve all parts:
+//!
+//! | key | value | held by |
+//! | --- | --- | --- |
+//! | `sp/c/{member}` | [`Session`] of a controller | that controller's lease |
+//! | `sp/{part}/...` | whatever a part keeps there | see the part |
+
+#![warn(missing_docs)]
+
+mod coordinator;
+mod records;
+mod session;
+mod store;
+
+pub use coordinator::Coordinator;
+pub use records::{Records, Versioned};
+pub use session::{HeldSession, Owner, Session, Timing, session_key};
+pub use store::{Store, put};
+
+/// All keys of coordinated parts begin with this.
+pub const PREFIX: &str = "sp/";
--- a/crates/stonewheel-activation/src/store.rs
+++ b/crates/stonewheel-coordination/src/store.rs
@@ -1,5 +1,5 @@
-//! How this part reaches the state service: through the controller's own budget and
-//! writer, so that all parts together keep within its share.
+//! How parts reach the state service: through the controller's own budget and writer,
+//! so that all together keep within its share.
 
 use std::sync::Arc;
 
@@ -9,7 +9,7 @@
 use stonewheel_state::{Budget, Reserve, StateApi, StateError, Writer};
 use tokio::time::Duration;
 
-use crate::record::PREFIX;
+use crate::PREFIX;
 
 /// The state service, within this controller's share.
 #[derive(Clone)]
@@ -25,7 +25,7 @@
         Self { api, requests, writer }
     }
 
-    /// All records of this part, and the revision at which the reading began.
+    /// All shared records, and the revision at which the reading began.
     pub(crate) async fn read_all(&self) -> Result<(Vec<Item>, u64), StateError> {
         let mut items = Vec::new();
         let mut since = String::new();
@@ -79,11 +79,7 @@
 }
 
 /// A write of a value, attached to a lease or to none.
-pub(crate) fn put<T: Serialize>(
-    key: String,
-    value: &T,
-    lease: Option<u64>,
-) -> Result<Write, StateError> {
+pub fn put<T: Serialize>(key: String, value: &T, lease: Option<u64>) -> Result<Write, StateError> {
     let value = serde_json::value::to_raw_value(value)
         .map_err(|error| StateError::Unsure(CallError::Malformed(error.to_string())))?;
     Ok(Write::Put { key, value, lease })
--- a/src/activation.rs
+++ b/src/activation.rs
@@ -11,9 +11,9 @@
 use futures_util::future::{BoxFuture, join_all};
 use hyper::{Method, StatusCode};
 use stonewheel_activation::{
-    Activator, ModelSettings, ReplicaOrder, ReplicaStarter, Replicas, StarterError, Store, Timing,
-    record::{Owner, job_key},
+    Activator, ModelSettings, ReplicaOrder, ReplicaStarter, Replicas, StarterError, record::job_key,
 };
+use stonewheel_coordination::Coordinator;
 
 use crate::{
     http::client::HttpClient,
@@ -216,20 +216,12 @@
 /// The activator of this controller, if the operators' settings switch it on.
 pub fn activator(
     node: &Arc<Node>,
+    coordinator: Arc<Coordinator>,
     probe: Arc<dyn ReplicaProbe>,
     seed: u64,
 ) -> Option<Arc<Activator>> {
     let settings = node.settings.operator.activation.clone()?;
     let models = settings.models.clone().into_iter().collect();
     let starter = Arc::new(SchedulerStarter::new(node.clone(), models, probe));
-    let me = Owner { member: node.settings.member.clone(), incarnation: node.incarnation };
-    let mut members: Vec<String> =
-        node.settings.members.iter().map(|member| member.member.clone()).collect();
-    members.push(me.member.clone());
-    let timing = Timing {
-        session: node.settings.worker_lease(),
-        state_timeout: node.settings.state_timeout(),
-    };
-    let store = Store::new(node.state.clone(), node.requests.clone(), node.writer());
-    Some(Activator::new(me, members, settings, timing, store, starter, seed))
+    Some(Activator::new(coordinator, settings, starter, seed))
 }
--- /dev/null
+++ b/src/coordination.rs
@@ -0,0 +1,22 @@
+//! What parts of several controllers agree through, over this controller's own client
+//! and budget.
+
+use std::sync::Arc;
+
+use stonewheel_coordination::{Coordinator, Owner, Store, Timing};
+
+use crate::node::Node;
+
+/// The coordination of this controller. Its parts share it.
+pub fn coordinator(node: &Arc<Node>) -> Arc<Coordinator> {
+    let me = Owner { member: node.settings.member.clone(), incarnation: node.incarnation };
+    let mut members: Vec<String> =
+        node.settings.members.iter().map(|member| member.member.clone()).collect();
+    members.push(me.member.clone());
+    let timing = Timing {
+        session: node.settings.worker_lease(),
+        state_timeout: node.settings.state_timeout(),
+    };
+    let store = Store::new(node.state.clone(), node.requests.clone(), node.writer());
+    Coordinator::new(me, members, timing, store)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission_limit;
 pub mod cloud;
 pub mod controller;
+pub mod coordination;
 pub mod dependencies;
 pub mod election;
 pub mod fencing;
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,8 +4,8 @@
 
 use clap::Parser;
 use stonewheel::{
-    activation, activation::HttpProbe, cloud::HttpCloud, fleet::HttpWorkers, node::Node,
-    settings::Settings, state,
+    activation, activation::HttpProbe, cloud::HttpCloud, coordination, fleet::HttpWorkers,
+    node::Node, settings::Settings, state,
 };
 use tokio::net::TcpListener;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -72,7 +72,9 @@
         let node = Node::new(settings, state, cloud, workers, seed);
         let stop = CancellationToken::new();
         let parts = TaskTracker::new();
-        if let Some(activator) = activation::activator(&node, probe, seed) {
+        let coordinator = coordination::coordinator(&node);
+        if let Some(activator) = activation::activator(&node, coordinator.clone(), probe, seed) {
+            parts.spawn(coordinator.run(stop.clone()));
             let address = activator.settings().listen.address(public.local_addr()?.ip());
             let listener = TcpListener::bind(address).await.inspect_err(|error| {
                 tracing::error!(%address, %error, "activation.listen can't be had");
--- a/tests/activation.rs
+++ b/tests/activation.rs
@@ -16,6 +16,7 @@
 use serde_json::json;
 use stonewheel::{
     activation::{ReplicaProbe, activator},
+    coordination::coordinator,
     node::OwnedReply,
     protocol::{Condition, JobSpec, JobState},
 };
@@ -67,8 +68,8 @@
 
 impl OwnJobs for World {
     fn jobs_of_our_own(&self) -> Vec<String> {
-        let keys = self.state.keys("sa/j/");
-        keys.iter().map(|key| key.trim_start_matches("sa/j/").to_owned()).collect()
+        let keys = self.state.keys("sp/a/j/");
+        keys.iter().map(|key| key.trim_start_matches("sp/a/j/").to_owned()).collect()
     }
 
     fn machines_with(&self, job: &str) -> usize {
@@ -101,7 +102,10 @@
     fn start(&self, at: usize) {
         self.world.start_node(at);
         let probe = Arc::new(MemProbe(self.world.clone()));
-        let activator = activator(&self.world.node(at), probe, at as u64).expect("switched on");
+        let node = self.world.node(at);
+        let coordinator = coordinator(&node);
+        tokio::spawn(coordinator.clone().run(self.world.stop_token(at)));
+        let activator = activator(&node, coordinator, probe, at as u64).expect("switched on");
         tokio::spawn(activator.clone().run(self.world.stop_token(at)));
         self.activators.lock().expect("not poisoned").insert(at, activator);
     }
@@ -130,7 +134,7 @@
     }
 
     fn record(&self) -> serde_json::Value {
-        let text = self.world.state.value("sa/m/router").unwrap_or_else(|| "null".into());
+        let text = self.world.state.value("sp/a/m/router").unwrap_or_else(|| "null".into());
         serde_json::from_str(&text).expect("a record")
     }
 
@@ -233,27 +237,27 @@
     };
     let put = |text: &str| {
         let raw = serde_json::value::RawValue::from_string(text.into()).expect("json");
-        stonewheel::protocol::Write::Put { key: "sa/m/router".into(), value: raw, lease: None }
+        stonewheel::protocol::Write::Put { key: "sp/a/m/router".into(), value: raw, lease: None }
     };
     world.state.commit(Vec::new(), vec![put("1")]).expect("committed");
     let fence =
-        || Condition { key: "sa/m/router".into(), version: world.state.version("sa/m/router") };
+        || Condition { key: "sp/a/m/router".into(), version: world.state.version("sp/a/m/router") };
     // A user's job has the id.
     world.submit(1, "j-000007", json!({"Shape": "service", "Spokes": 1})).await.expect("accepted");
-    let reply = node.submit_owned(&spec("j-000007"), &fence(), "sa/j/j-000007").await;
+    let reply = node.submit_owned(&spec("j-000007"), &fence(), "sp/a/j/j-000007").await;
     assert_eq!(reply, Ok(OwnedReply::NameTaken));
-    let reply = node.withdraw_owned("j-000007", &fence(), "sa/j/j-000007").await;
+    let reply = node.withdraw_owned("j-000007", &fence(), "sp/a/j/j-000007").await;
     assert_eq!(reply, Ok(OwnedReply::Done), "there is nothing of ours");
     assert_eq!(state(&world.ask(1, "j-000007").await), Some(JobState::Pending));
     // The record changes between the decision and the submission.
     let old = fence();
     world.state.commit(Vec::new(), vec![put("2")]).expect("committed");
-    let reply = node.submit_owned(&spec("j-000008"), &old, "sa/j/j-000008").await;
+    let reply = node.submit_owned(&spec("j-000008"), &old, "sp/a/j/j-000008").await;
     assert_eq!(reply, Ok(OwnedReply::Stale));
     assert_eq!(state(&world.ask(1, "j-000008").await), None, "never accepted");
     // The answer is lost, and the repeat finds the job.
     world.state.mute("m-0", 1);
-    let marker = "sa/j/j-000009";
+    let marker = "sp/a/j/j-000009";
     assert!(node.submit_owned(&spec("j-000009"), &fence(), marker).await.is_err());
     let reply = node.submit_owned(&spec("j-000009"), &fence(), marker).await;
     assert_eq!(reply, Ok(OwnedReply::Done));
@@ -270,7 +274,7 @@
     // What can never run is said so.
     let body = job("j-000010", json!({"Shape": "service", "Crew": "nobody"}));
     let impossible = JobSpec::parse(&body).expect("valid");
-    let reply = node.submit_owned(&impossible, &fence(), "sa/j/j-000010").await;
+    let reply = node.submit_owned(&impossible, &fence(), "sp/a/j/j-000010").await;
     assert_eq!(reply, Ok(OwnedReply::Impossible("no such team".into())));
     no_rule_broken(&world);
 }
