--- a/crates/stonewheel-activation/src/activator.rs
+++ b/crates/stonewheel-activation/src/activator.rs
@@ -25,6 +25,8 @@
     starter::{ReplicaOrder, ReplicaStarter, Replicas, StarterError},
 };
 
+/// The part of the room for held requests that one of several models may take.
+const MODEL_PARTS: usize = 2;
 /// Digits of a job's id: as many as the records of ended jobs pack well.
 const JOB_DIGITS: usize = 17;
 
@@ -162,6 +164,10 @@
             return outcome;
         }
         let retry_after = Duration::from_secs_f64(model.settings.retry_s);
+        // One model in demand must leave room for the wakes of others.
+        if model.held() >= self.most_held_of_one() {
+            return Err(Refusal::Full { retry_after });
+        }
         let room: HeldRoom = self.holder.enter(bytes).ok_or(Refusal::Full { retry_after })?;
         let held = model.hold();
         let deadline = now + Duration::from_secs_f64(model.settings.hold_s);
@@ -212,6 +218,12 @@
         session.is_some_and(|session| now < session.valid_until + self.settings.outage())
     }
 
+    /// Requests that may be held for one model: all if there is only one.
+    fn most_held_of_one(&self) -> usize {
+        let all = self.settings.hold_requests as usize;
+        if self.models.len() > 1 { (all / MODEL_PARTS).max(1) } else { all }
+    }
+
     /// How much room held requests take.
     pub fn held(&self) -> HolderUsage {
         self.holder.usage()
--- a/crates/stonewheel-activation/src/gateway.rs
+++ b/crates/stonewheel-activation/src/gateway.rs
@@ -20,13 +20,13 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
-    time::{Duration, timeout},
+    time::{Duration, Instant, sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 use tracing::debug;
 use warp::{Filter, Rejection, Reply};
 
-use crate::{Activator, Refusal, settings::ActivationSettings};
+use crate::{Activator, Admission, Refusal, settings::ActivationSettings};
 
 /// Connections beyond those whose requests are held: of requests that pass, and of
 /// callers that idle.
@@ -108,23 +108,54 @@
     }
 
     async fn answer(&self, model: String, incoming: Incoming) -> warp::reply::Response {
-        let admission = match self.activator.enter(&model, incoming.body.len()).await {
-            Ok(admission) => admission,
-            Err(refusal) => return refusal_response(&refusal),
-        };
-        let exchange = async {
-            for endpoint in admission.endpoints() {
-                if let Some(response) = self.forward(endpoint, &incoming).await {
-                    return response;
+        let began = Instant::now();
+        loop {
+            let admission = match self.activator.enter(&model, incoming.body.len()).await {
+                Ok(admission) => admission,
+                Err(refusal) => return refusal_response(&refusal),
+            };
+            let exchange = timeout(self.request_limit, self.exchange(&admission, &incoming));
+            match exchange.await {
+                Ok(Some(response)) => return response,
+                Err(_) => {
+                    let reason = "the replica did not answer in time";
+                    return refuse(StatusCode::GATEWAY_TIMEOUT, reason, None);
                 }
+                Ok(None) => drop(admission),
             }
-            let retry_after = Some(self.request_limit / CONNECT_PARTS);
-            refuse(StatusCode::SERVICE_UNAVAILABLE, "no replica can be reached", retry_after)
-        };
-        let answered = timeout(self.request_limit, exchange).await;
-        answered.unwrap_or_else(|_| {
-            refuse(StatusCode::GATEWAY_TIMEOUT, "the replica did not answer in time", None)
-        })
+            // No replica has the request. Their owner will have noticed soon, and what
+            // it does then lets the request pass or be refused.
+            let Some(pause) = self.patience(&model, began) else {
+                let retry_after = Some(self.request_limit / CONNECT_PARTS);
+                let reason = "no replica can be reached";
+                return refuse(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after);
+            };
+            sleep(pause).await;
+        }
+    }
+
+    /// How long to wait before a request that reached nobody tries again; none if its
+    /// time is over.
+    fn patience(&self, model: &str, began: Instant) -> Option<Duration> {
+        let settings = self.activator.settings().models.get(model)?;
+        let (look, hold) = (settings.look_s, settings.hold_s);
+        let pause = Duration::from_secs_f64(look);
+        (began.elapsed() + pause < Duration::from_secs_f64(hold)).then_some(pause)
+    }
+
+    /// Sends a request to one replica after another until one has it.
+    async fn exchange(
+        &self,
+        admission: &Admission,
+        incoming: &Incoming,
+    ) -> Option<warp::reply::Response> {
+        for endpoint in admission.endpoints() {
+            let response = self.forward(endpoint, incoming).await;
+            if response.is_some() {
+                return response;
+            }
+        }
+        None
     }
 
     /// The replica's answer, or none if the request surely did not reach it.
--- a/crates/stonewheel-activation/tests/common/house.rs
+++ b/crates/stonewheel-activation/tests/common/house.rs
@@ -63,6 +63,15 @@
         self.lock().endpoints.len()
     }
 
+    /// All model servers end by themselves.
+    pub fn lose_all(&self) {
+        let mut state = self.lock();
+        state.endpoints.clear();
+        for (_, server) in std::mem::take(&mut state.asked_for) {
+            server.cancel();
+        }
+    }
+
     async fn run_server(self, model: String, job: String, stop: CancellationToken) {
         self.lock().started.push((model, job.clone()));
         sleep(self.boot).await;
--- a/crates/stonewheel-activation/tests/loopback.rs
+++ b/crates/stonewheel-activation/tests/loopback.rs
@@ -73,6 +73,20 @@
     loopback.end();
 }
 
+#[tokio::test]
+async fn requests_that_reach_no_replica_wait_for_the_next_start() {
+    let loopback = Loopback::new(3).await;
+    answered((0..3).map(|number| loopback.request(number)).collect()).await;
+    loopback.house.lose_all();
+    // Some come before anybody has noticed, and none is sent away.
+    for request in (0..100).map(|number| loopback.request(number)).collect::<Vec<_>>() {
+        let (retries, refusals) = request.await.expect("answered");
+        assert_eq!((retries, refusals), (0, Vec::new()));
+    }
+    assert_eq!(loopback.house.started(), 2);
+    loopback.end();
+}
+
 #[tokio::test]
 async fn bad_requests_get_one_plain_answer() {
     let loopback = Loopback::new(1).await;
--- a/crates/stonewheel-activation/tests/stories.rs
+++ b/crates/stonewheel-activation/tests/stories.rs
@@ -374,6 +374,21 @@
     assert_eq!((usage.requests, usage.bytes), (0, 0));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_model_in_demand_leaves_room_for_the_wake_of_another() {
+    let mut small = settings(&[("router", model_settings(&[])), ("rare", model_settings(&[]))]);
+    small.hold_requests = 10.0;
+    let fleet = Fleet::new(1, small).await;
+    let demand = tokio::spawn({
+        let fleet = fleet.clone();
+        async move { fleet.burst(100, "router").await }
+    });
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(fleet.request(0, "rare").await, Outcome::Answered);
+    let outcomes = demand.await.expect("ran");
+    assert_eq!(outcomes.iter().filter(|o| **o == Outcome::Answered).count(), 5);
+}
+
 #[tokio::test(start_paused = true)]
 async fn callers_that_leave_while_held_take_no_room_and_the_model_sleeps_again() {
     let fleet = Fleet::with_router(3).await;
