--- a/crates/stonewheel-activation/src/lib.rs
+++ b/crates/stonewheel-activation/src/lib.rs
@@ -21,7 +21,5 @@
 pub use activator::{Activator, Admission, ModelStatus, Refusal, members_fit};
 pub use gateway::serve;
 pub use holder::HolderUsage;
-pub use settings::{
-    ActivationSettings, Listen, ModelSettings, SectionError, is_section, parse_sections,
-};
+pub use settings::{ActivationSettings, Listen, ModelSettings, is_section, parse_sections};
 pub use starter::{ReplicaOrder, ReplicaStarter, Replicas, StarterError};
--- a/crates/stonewheel-activation/src/settings.rs
+++ b/crates/stonewheel-activation/src/settings.rs
@@ -8,34 +8,20 @@
 };
 
 use garde::Validate;
-use thiserror::Error;
+use stonewheel_settings::{Section, SectionError, check_name, known_priority, path, whole};
 
 /// The section with what holds for all models.
 const GENERAL_SECTION: &str = "activation";
 /// The sections of models are called this and the model's name.
 const MODEL_SECTION: &str = "model ";
-/// The longest name of a model: it is part of keys.
-const LONGEST_NAME: usize = 64;
 /// A millisecond: nothing here is measured more finely.
 const SHORTEST_S: f64 = 0.001;
 /// A day: longer waits are mistakes.
 const LONGEST_S: f64 = 86_400.0;
-/// Priorities of jobs, in the submission's terms.
-const PRIORITIES: [&str; 4] = ["production", "high", "standard", "best_effort"];
 /// The key that other times of a model are ratios to.
 const LOAD_TIME: &str = "load_s";
 const BYTES_PER_KB: f64 = 1024.0;
 
-/// A mistake in the settings: which field, and what is wrong with it.
-#[derive(Clone, Debug, Error, PartialEq, Eq)]
-#[error("{field}: {reason}")]
-pub struct SectionError {
-    /// Section and key.
-    pub field: String,
-    /// What is wrong.
-    pub reason: String,
-}
-
 /// Where requests to models are taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listen {
@@ -153,24 +139,6 @@
     pub look_s: f64,
 }
 
-fn whole(value: &f64, _: &()) -> garde::Result {
-    if value.fract() == 0.0 { Ok(()) } else { Err(garde::Error::new("must be a whole number")) }
-}
-
-fn known_priority(value: &str, _: &()) -> garde::Result {
-    if PRIORITIES.contains(&value) {
-        return Ok(());
-    }
-    Err(garde::Error::new(format!("must be one of {}", PRIORITIES.join(", "))))
-}
-
-fn path(value: &str, _: &()) -> garde::Result {
-    if value.starts_with('/') && value.bytes().all(|byte| byte.is_ascii_graphic()) {
-        return Ok(());
-    }
-    Err(garde::Error::new("must begin with / and hold no spaces"))
-}
-
 fn at_least(field: &'static str, other: f64) -> impl FnOnce(&f64, &()) -> garde::Result {
     move |value, &()| {
         if *value >= other {
@@ -228,53 +196,6 @@
     }
 }
 
-/// The keys of one section that nobody has asked for yet.
-struct Section<'a> {
-    name: &'a str,
-    keys: BTreeMap<&'a str, &'a str>,
-}
-
-impl<'a> Section<'a> {
-    fn new(name: &'a str, pairs: &[(&'a str, &'a str)]) -> Result<Self, SectionError> {
-        let mut section = Self { name, keys: BTreeMap::new() };
-        for (key, value) in pairs {
-            if section.keys.insert(key, value).is_some() {
-                return Err(section.error(key, "is set twice"));
-            }
-        }
-        Ok(section)
-    }
-
-    fn error(&self, key: &str, reason: &str) -> SectionError {
-        SectionError { field: format!("{}.{key}", self.name), reason: reason.into() }
-    }
-
-    fn text(&mut self, key: &str, default: Option<&str>) -> Result<String, SectionError> {
-        match self.keys.remove(key).or(default) {
-            Some(value) => Ok(value.to_owned()),
-            None => Err(self.error(key, "is missing")),
-        }
-    }
-
-    fn number(&mut self, key: &str, default: Option<f64>) -> Result<f64, SectionError> {
-        match (self.keys.remove(key), default) {
-            (Some(text), _) => {
-                let number = text.parse::<f64>().ok().filter(|number| number.is_finite());
-                number.ok_or_else(|| self.error(key, "must be a finite number"))
-            }
-            (None, Some(default)) => Ok(default),
-            (None, None) => Err(self.error(key, "is missing")),
-        }
-    }
-
-    fn end(self) -> Result<(), SectionError> {
-        match self.keys.keys().next() {
-            Some(key) => Err(self.error(key, "unknown key")),
-            None => Ok(()),
-        }
-    }
-}
-
 /// Reads the sections of this part out of an INI file's. None if there is no section
 /// `activation`. Sections of other parts are passed over.
 pub fn parse_sections<'a>(
@@ -285,13 +206,13 @@
     for (name, pairs) in sections {
         if name == GENERAL_SECTION {
             if settings.replace(general(Section::new(name, &pairs)?)?).is_some() {
-                return Err(stands_twice(name));
+                return Err(SectionError::stands_twice(name));
             }
         } else if let Some(model) = name.strip_prefix(MODEL_SECTION) {
             check_name(name, model)?;
             let parsed = model_settings(Section::new(name, &pairs)?)?;
             if models.insert(model.to_owned(), parsed).is_some() {
-                return Err(stands_twice(name));
+                return Err(SectionError::stands_twice(name));
             }
         }
     }
@@ -318,20 +239,6 @@
     name == GENERAL_SECTION || name.starts_with(MODEL_SECTION)
 }
 
-fn stands_twice(section: &str) -> SectionError {
-    SectionError { field: section.into(), reason: "stands twice".into() }
-}
-
-fn check_name(section: &str, model: &str) -> Result<(), SectionError> {
-    let fits =
-        |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-_.".contains(&byte);
-    if !model.is_empty() && model.len() <= LONGEST_NAME && model.bytes().all(fits) {
-        return Ok(());
-    }
-    let reason = "a model's name has 1 to 64 of a to z, 0 to 9, '-', '_' and '.'";
-    Err(SectionError { field: section.into(), reason: reason.into() })
-}
-
 /// The first mistake of a report, in the file's terms.
 fn first_error(report: &garde::Report) -> SectionError {
     // Other times follow from the load time where they are not set, and so do their
--- /dev/null
+++ b/crates/stonewheel-rollout/src/executor.rs
@@ -0,0 +1,422 @@
+//! The executor of one controller: it takes commands for any service, and drives the
+//! rollouts that it owns.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+};
+
+use futures_util::future::join_all;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use stonewheel_coordination::{Coordinator, Versioned, put};
+use stonewheel_protocol::Condition;
+use stonewheel_state::{StateError, lock};
+use thiserror::Error;
+use tokio::time::{Instant, sleep_until};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tracing::{debug, info, warn};
+
+use crate::{
+    command::{Command, CommandError, CommandKind, apply, check_version},
+    host::{HostError, ReplicaHost, ReplicaOrder},
+    observer::Observer,
+    planner::{Facts, Reason, Sightings, Step, decide, has_work},
+    record::{Replica, ServiceRecord, record_bytes, service_key},
+    settings::RolloutSettings,
+};
+
+/// Controllers adopt one after the other: each leaves this part of a session's time to
+/// the one before it.
+const ADOPTION_PARTS: u32 = 16;
+/// How often a command is tried whose record changes meanwhile.
+const COMMAND_TRIES: u32 = 8;
+/// Jobs are named from a number with so many digits on.
+const JOB_DIGITS: u32 = 16;
+
+/// Why a command has not done its work.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum CommandFailure {
+    /// It was refused, and nothing was changed.
+    #[error(transparent)]
+    Refused(#[from] CommandError),
+    /// No such service.
+    #[error("service {0} is not known")]
+    UnknownService(String),
+    /// The state service can't be reached: certainly not carried out.
+    #[error("the state service can't be reached")]
+    Unavailable,
+    /// It may have been carried out: the same id tells.
+    #[error("the outcome is not known; ask again with the same id")]
+    Unknown,
+}
+
+/// What is kept of one service.
+struct Service {
+    name: String,
+    observer: Mutex<Observer>,
+    owner_gone_since: Mutex<Option<Instant>>,
+    next_look: Mutex<Instant>,
+}
+
+/// The executor of one controller.
+pub struct Executor {
+    coordinator: Arc<Coordinator>,
+    settings: RolloutSettings,
+    host: Arc<dyn ReplicaHost>,
+    services: BTreeMap<String, Arc<Service>>,
+    /// Bytes of the largest record.
+    most_bytes: usize,
+    rng: Mutex<StdRng>,
+}
+
+impl Executor {
+    /// Over the coordination of this controller, for these services. `most_bytes`: the
+    /// largest value that the state service takes.
+    pub fn new(
+        coordinator: Arc<Coordinator>,
+        settings: RolloutSettings,
+        services: &[String],
+        host: Arc<dyn ReplicaHost>,
+        most_bytes: usize,
+        seed: u64,
+    ) -> Arc<Self> {
+        let service = |name: &String| {
+            let service = Service {
+                name: name.clone(),
+                observer: Mutex::new(Observer::new(settings)),
+                owner_gone_since: Mutex::new(None),
+                next_look: Mutex::new(Instant::now()),
+            };
+            (name.clone(), Arc::new(service))
+        };
+        Arc::new(Self {
+            coordinator,
+            settings,
+            host,
+            services: services.iter().map(service).collect(),
+            most_bytes,
+            rng: Mutex::new(StdRng::seed_from_u64(seed)),
+        })
+    }
+
+    /// Runs until told to stop.
+    pub async fn run(self: Arc<Self>, stop: CancellationToken) {
+        let duties = TaskTracker::new();
+        for service in self.services.values() {
+            let duty = self.clone().drive(service.clone());
+            let stop = stop.clone();
+            duties.spawn(async move {
+                tokio::select! {
+                    () = duty => {}
+                    () = stop.cancelled() => {}
+                }
+            });
+        }
+        duties.close();
+        duties.wait().await;
+    }
+
+    /// A service's record, as last read.
+    pub fn record(&self, service: &str) -> Option<Versioned<ServiceRecord>> {
+        self.coordinator.records().get(&service_key(service))
+    }
+
+    // Commands.
+
+    /// Deploys a service for the first time: `replicas` of a version are to be started.
+    pub async fn create(
+        &self,
+        service: &str,
+        version: &str,
+        replicas: u32,
+    ) -> Result<(), CommandFailure> {
+        if !self.services.contains_key(service) {
+            return Err(CommandFailure::UnknownService(service.into()));
+        }
+        check_version(version)?;
+        self.check_size(replicas, version)?;
+        if self.record(service).is_some() {
+            return Err(CommandError::Deployed.into());
+        }
+        let mut record = ServiceRecord {
+            epoch: 0,
+            owner: None,
+            version: version.into(),
+            next_replica: 0,
+            replicas: Vec::new(),
+            rollout: None,
+            commands: Vec::new(),
+        };
+        let job_base = self.job_base();
+        for _ in 0..replicas {
+            record.add_replica(version, job_base);
+        }
+        let before = Versioned { version: 0, value: record.clone() };
+        self.commit(service, &before, &record).await.map_err(|error| match error {
+            StateError::Refused(_) => CommandFailure::Unavailable,
+            _ => CommandFailure::Unknown,
+        })
+    }
+
+    /// Whether a record of so many replicas fits.
+    fn check_size(&self, replicas: u32, version: &str) -> Result<(), CommandError> {
+        let fits = |replicas: u32| record_bytes(replicas, version) <= self.most_bytes;
+        if replicas > 0 && fits(replicas) {
+            return Ok(());
+        }
+        let most = (1..replicas).rev().find(|fewer| fits(*fewer)).unwrap_or(0);
+        Err(CommandError::TooLarge { most })
+    }
+
+    /// Where the replicas that take requests answer, by a look at each.
+    pub async fn endpoints(&self, service: &str) -> Option<Vec<String>> {
+        let known = self.services.get(service)?;
+        let record = self.record(service)?;
+        self.look_now(known, &record).await;
+        Some(lock(&known.observer).endpoints(&record.value, Instant::now()))
+    }
+
+    /// Carries out a command, once however often it is asked for. When this returns it
+    /// stands, whatever becomes of this controller.
+    pub async fn command(&self, service: &str, command: &Command) -> Result<(), CommandFailure> {
+        let known = self.services.get(service);
+        let known = known.ok_or_else(|| CommandFailure::UnknownService(service.into()))?;
+        for _ in 0..COMMAND_TRIES {
+            // Never decided on what this process alone may still believe.
+            if self.coordinator.session().is_none_or(|s| s.valid_until <= Instant::now()) {
+                return Err(CommandFailure::Unavailable);
+            }
+            let Some(record) = self.record(service) else {
+                return Err(CommandFailure::UnknownService(service.into()));
+            };
+            if let CommandKind::Start { to, surge, .. } = &command.kind {
+                let replicas = record.value.replicas.len() as u32;
+                self.check_size(replicas.saturating_add(*surge), to)?;
+            }
+            let sightings = self.look_now(known, &record).await;
+            let next = match apply(&record.value, command, &sightings) {
+                Ok(Some(next)) => next,
+                Ok(None) => return Ok(()),
+                // A look got no answer: the next one may.
+                Err(CommandError::Unseen(_)) => {
+                    self.coordinator.refresh().await;
+                    continue;
+                }
+                Err(refusal) => return Err(refusal.into()),
+            };
+            match self.commit(service, &record, &next).await {
+                Ok(()) => {
+                    info!(service, id = command.id, kind = ?command.kind, "command");
+                    return Ok(());
+                }
+                Err(StateError::Refused(_)) => return Err(CommandFailure::Unavailable),
+                // It shows in the record whether it was carried out.
+                Err(_) => self.coordinator.refresh().await,
+            }
+        }
+        Err(CommandFailure::Unknown)
+    }
+
+    // Driving.
+
+    async fn drive(self: Arc<Self>, service: Arc<Service>) {
+        let mut changes = self.coordinator.subscribe();
+        loop {
+            changes.mark_unchanged();
+            let Some(record) = self.record(&service.name) else {
+                let _ = changes.changed().await;
+                continue;
+            };
+            if self.owns(&record) && has_work(&record.value) {
+                self.look_if_due(&service, &record).await;
+            }
+            match self.plan(&service, &record) {
+                Step::Wait(reason) => {
+                    let until = self.wake_at(&service, reason);
+                    tokio::select! {
+                        _ = changes.changed() => {}
+                        () = sleep_until(until) => {}
+                    }
+                }
+                Step::Write(next) => {
+                    if let Err(error) = self.commit(&service.name, &record, &next).await {
+                        debug!(service = service.name, %error, "a record was not written");
+                        self.coordinator.refresh().await;
+                    }
+                }
+                Step::Start(number) => self.start(&service, &record, number).await,
+                Step::Stop(number) => self.stop(&service, &record, number).await,
+            }
+        }
+    }
+
+    fn owns(&self, record: &Versioned<ServiceRecord>) -> bool {
+        record.value.owner.as_ref() == Some(self.coordinator.me())
+    }
+
+    fn job_base(&self) -> u64 {
+        let least = 10_u64.pow(JOB_DIGITS);
+        lock(&self.rng).random_range(least..least * 9)
+    }
+
+    fn plan(&self, service: &Service, record: &Versioned<ServiceRecord>) -> Step {
+        let now = Instant::now();
+        let session = self.coordinator.session();
+        let (owner_alive, rank) = {
+            let records = self.coordinator.records();
+            let owner = record.value.owner.as_ref();
+            let me = &self.coordinator.me().member;
+            (owner.is_some_and(|owner| records.lives(owner)), records.rank(me))
+        };
+        let may_adopt = {
+            let mut gone = lock(&service.owner_gone_since);
+            let since = if owner_alive { None } else { Some(gone.unwrap_or(now)) };
+            *gone = since;
+            let pause = self.coordinator.timing().session / ADOPTION_PARTS * rank;
+            since.is_some_and(|since| now >= since + pause)
+        };
+        let mut observer = lock(&service.observer);
+        observer.follow(&record.value, now);
+        decide(&Facts {
+            me: self.coordinator.me(),
+            record: &record.value,
+            session_valid: session.is_some_and(|session| now < session.valid_until),
+            owner_alive,
+            may_adopt,
+            sightings: &observer.sightings(now),
+            verdict: &observer.verdict(now),
+            job_base: self.job_base(),
+        })
+    }
+
+    fn wake_at(&self, service: &Service, reason: Reason) -> Instant {
+        let now = Instant::now();
+        let look = (*lock(&service.next_look)).max(now);
+        let due = lock(&service.observer).next_due(now);
+        match reason {
+            // A change of the records wakes the duty by itself; this is for adoption.
+            Reason::NotOwner | Reason::NoSession | Reason::Nothing => {
+                now + self.coordinator.timing().session / ADOPTION_PARTS
+            }
+            _ => due.map_or(look, |due| due.min(look)),
+        }
+    }
+
+    async fn commit(
+        &self,
+        service: &str,
+        from: &Versioned<ServiceRecord>,
+        to: &ServiceRecord,
+    ) -> Result<(), StateError> {
+        let Some(session) = self.coordinator.session() else { return Err(StateError::NoLease) };
+        let key = service_key(service);
+        let condition = Condition { key: key.clone(), version: from.version };
+        let write = put(key, to, None)?;
+        self.coordinator.commit_under(session, vec![condition], vec![write]).await?;
+        tell(service, &from.value, to);
+        Ok(())
+    }
+
+    fn order(
+        &self,
+        service: &Service,
+        record: &Versioned<ServiceRecord>,
+        replica: &Replica,
+    ) -> ReplicaOrder {
+        ReplicaOrder {
+            service: service.name.clone(),
+            number: replica.number,
+            job: replica.job.clone(),
+            version: replica.version.clone(),
+            epoch: record.value.epoch,
+            fence: Condition { key: service_key(&service.name), version: record.version },
+        }
+    }
+
+    fn order_for(
+        &self,
+        service: &Service,
+        record: &Versioned<ServiceRecord>,
+        number: u32,
+    ) -> Option<ReplicaOrder> {
+        let replica = record.value.replicas.iter().find(|replica| replica.number == number)?;
+        Some(self.order(service, record, replica))
+    }
+
+    async fn start(&self, service: &Service, record: &Versioned<ServiceRecord>, number: u32) {
+        let Some(order) = self.order_for(service, record, number) else { return };
+        let outcome = self.host.start(&order).await;
+        match outcome {
+            Ok(()) => lock(&service.observer).requested(number, None),
+            Err(HostError::Rejected(reason)) => {
+                lock(&service.observer).requested(number, Some(reason));
+            }
+            Err(error) => {
+                debug!(service = service.name, number, %error, "start");
+                self.coordinator.refresh().await;
+            }
+        }
+    }
+
+    async fn stop(&self, service: &Service, record: &Versioned<ServiceRecord>, number: u32) {
+        let Some(order) = self.order_for(service, record, number) else { return };
+        let outcome = self.host.stop(&order).await;
+        match outcome {
+            Ok(()) => lock(&service.observer).stopped(number),
+            Err(error) => {
+                debug!(service = service.name, number, %error, "stop");
+                self.coordinator.refresh().await;
+            }
+        }
+    }
+
+    async fn look_if_due(&self, service: &Service, record: &Versioned<ServiceRecord>) {
+        if *lock(&service.next_look) > Instant::now() {
+            return;
+        }
+        self.look_now(service, record).await;
+        *lock(&service.next_look) = Instant::now() + self.settings.look();
+    }
+
+    /// Looks at all replicas, and tells what is known then.
+    async fn look_now(&self, service: &Service, record: &Versioned<ServiceRecord>) -> Sightings {
+        lock(&service.observer).follow(&record.value, Instant::now());
+        let looks = record.value.replicas.iter().map(|replica| {
+            let order = self.order(service, record, replica);
+            async move { (replica, self.host.look(&order).await) }
+        });
+        let looks = join_all(looks).await;
+        let now = Instant::now();
+        let to = record.value.under_way().map(|rollout| rollout.to.as_str());
+        let mut observer = lock(&service.observer);
+        for (replica, look) in looks {
+            let new = to == Some(replica.version.as_str());
+            match look {
+                Ok(look) => observer.looked(replica.number, look, new, now),
+                Err(error) => debug!(service = service.name, %error, "look"),
+            }
+        }
+        observer.sightings(now)
+    }
+}
+
+/// Tells the operator what a committed record means.
+fn tell(service: &str, from: &ServiceRecord, to: &ServiceRecord) {
+    if from.owner != to.owner {
+        info!(service, epoch = to.epoch, "drives the service");
+    }
+    let Some(rollout) = &to.rollout else { return };
+    let before = from.rollout.as_ref().map(|rollout| rollout.history.len());
+    if before == Some(rollout.history.len())
+        && from.rollout.as_ref().map(|r| r.phase) == Some(rollout.phase)
+    {
+        return;
+    }
+    let why = rollout.history.last().map_or("", |entry| entry.why.as_str());
+    let (phase, step) = (rollout.phase, rollout.step);
+    if phase == crate::record::Phase::RollingBack {
+        warn!(service, id = rollout.id, ?phase, step, why, "rollout");
+    } else {
+        info!(service, id = rollout.id, ?phase, step, why, "rollout");
+    }
+}
--- /dev/null
+++ b/crates/stonewheel-rollout/src/planner.rs
@@ -0,0 +1,414 @@
+//! What the owner of a rollout does next: a pure function of the record and of what was
+//! lately seen of the replicas.
+//!
+//! The rule: no step of ours lets fewer replicas answer than when the rollout began.
+//! Replicas count by what a probe saw, never by what was ordered. New ones answer before
+//! any old one is drained, and an answering replica is drained only while, without it,
+//! the level and a spare answer: as many as the fullest machine holds, so that one
+//! machine may be lost, but no more than the surge can bring.
+
+use std::collections::BTreeMap;
+
+use stonewheel_coordination::Owner;
+
+use crate::{
+    command::roll_back,
+    record::{Phase, Replica, ReplicaStage, Rollout, ServiceRecord},
+};
+
+/// What a probe saw of a replica.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Seen {
+    /// Nothing lately.
+    #[default]
+    Unknown,
+    /// It waits for room in the fleet.
+    NoRoom,
+    /// It has a place, and doesn't answer.
+    Silent,
+    /// It answers.
+    Answering,
+    /// It is gone for good.
+    Gone,
+}
+
+/// What is known of a replica.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Sighting {
+    /// What the last probe saw.
+    pub seen: Seen,
+    /// The machine that it is on.
+    pub machine: Option<String>,
+    /// Its start was asked for, by this owner.
+    pub requested: bool,
+    /// It has had a place and no answer for longer than a start may take, can never be
+    /// started, or answers now and then.
+    pub failed: Option<String>,
+    /// It has drained for long enough.
+    pub drained: bool,
+    /// It was stopped, by this owner.
+    pub stopped: bool,
+}
+
+/// What is known of the replicas, by number.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Sightings(pub BTreeMap<u32, Sighting>);
+
+impl Sightings {
+    fn of(&self, replica: &Replica) -> Sighting {
+        self.0.get(&replica.number).cloned().unwrap_or_default()
+    }
+
+    fn answers(&self, replica: &Replica) -> bool {
+        self.0.get(&replica.number).is_some_and(|sighting| sighting.seen == Seen::Answering)
+    }
+
+    /// The replicas that take requests and answer.
+    pub fn answering(&self, record: &ServiceRecord) -> Vec<u32> {
+        let serving = record.replicas.iter().filter(|r| r.stage == ReplicaStage::Serving);
+        serving.filter(|replica| self.answers(replica)).map(|replica| replica.number).collect()
+    }
+
+    /// A replica that takes requests and of which nothing is known.
+    pub fn unseen(&self, record: &ServiceRecord) -> Option<u32> {
+        let serving = record.replicas.iter().filter(|r| r.stage == ReplicaStage::Serving);
+        let unseen = |replica: &&Replica| self.of(replica).seen == Seen::Unknown;
+        serving.filter(unseen).map(|replica| replica.number).next()
+    }
+
+    /// How many of these are on the machine that holds most of them. Those whose machine
+    /// is unknown may all be on one.
+    pub fn fullest_machine(&self, replicas: &[u32]) -> u32 {
+        let mut held: BTreeMap<Option<&str>, u32> = BTreeMap::new();
+        for number in replicas {
+            let machine = self.0.get(number).and_then(|sighting| sighting.machine.as_deref());
+            *held.entry(machine).or_default() += 1;
+        }
+        held.into_values().max().unwrap_or(0)
+    }
+}
+
+/// What the health gate says of the present step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The soak time isn't over.
+    Undecided,
+    /// The next step may begin.
+    Healthy,
+    /// The rollout turns back.
+    Unhealthy(String),
+}
+
+/// Why nothing is done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// This process holds no session.
+    NoSession,
+    /// Another process drives the rollout.
+    NotOwner,
+    /// There is nothing to do.
+    Nothing,
+    /// An operator holds it.
+    Paused,
+    /// Replicas don't answer yet.
+    NotAnswering,
+    /// Replicas wait for room in the fleet.
+    NoRoom,
+    /// Replicas finish the requests that they have.
+    Draining,
+    /// The step is watched.
+    Soaking,
+}
+
+/// What a controller knows of a service.
+#[derive(Clone, Copy, Debug)]
+pub struct Facts<'a> {
+    /// This process.
+    pub me: &'a Owner,
+    /// The service, as last read.
+    pub record: &'a ServiceRecord,
+    /// This process surely holds its session.
+    pub session_valid: bool,
+    /// The session of the record's owner exists.
+    pub owner_alive: bool,
+    /// The time that this controller leaves to others before it adopts is over.
+    pub may_adopt: bool,
+    /// What was lately seen.
+    pub sightings: &'a Sightings,
+    /// What the health gate says.
+    pub verdict: &'a Verdict,
+    /// New jobs are named from here on.
+    pub job_base: u64,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Nothing, until something changes.
+    Wait(Reason),
+    /// Replace the record.
+    Write(Box<ServiceRecord>),
+    /// Ask for a replica.
+    Start(u32),
+    /// Stop a replica.
+    Stop(u32),
+}
+
+/// What to do next.
+pub fn decide(facts: &Facts<'_>) -> Step {
+    let record = facts.record;
+    if !facts.session_valid {
+        return Step::Wait(Reason::NoSession);
+    }
+    if !has_work(record) {
+        return Step::Wait(Reason::Nothing);
+    }
+    if record.owner.as_ref() != Some(facts.me) {
+        return adopt(facts);
+    }
+    if let Some(step) = carry_on(facts) {
+        return step;
+    }
+    let Some(rollout) = record.under_way() else { return Step::Wait(Reason::Draining) };
+    if let Some(why) = failure(facts, rollout) {
+        return change(record, |next| turn_back(next, &why));
+    }
+    match rollout.phase {
+        _ if rollout.paused => Step::Wait(Reason::Paused),
+        Phase::Stepping => step_forward(facts, rollout),
+        Phase::Soaking => soak(facts, rollout),
+        Phase::Finishing => finish(facts, rollout, Phase::Done),
+        Phase::RollingBack => bring_back(facts, rollout),
+        Phase::Done | Phase::RolledBack | Phase::Aborted => Step::Wait(Reason::Nothing),
+    }
+}
+
+/// Whether anything is left to do for a service.
+pub fn has_work(record: &ServiceRecord) -> bool {
+    let unsettled = |replica: &Replica| replica.stage != ReplicaStage::Serving;
+    record.under_way().is_some() || record.replicas.iter().any(unsettled)
+}
+
+fn adopt(facts: &Facts<'_>) -> Step {
+    let vacant = facts.record.owner.is_none() || !facts.owner_alive;
+    if !vacant || !facts.may_adopt {
+        return Step::Wait(Reason::NotOwner);
+    }
+    change(facts.record, |next| {
+        next.owner = Some(facts.me.clone());
+        next.epoch += 1;
+    })
+}
+
+fn change(record: &ServiceRecord, how: impl FnOnce(&mut ServiceRecord)) -> Step {
+    let mut next = record.clone();
+    how(&mut next);
+    Step::Write(Box::new(next))
+}
+
+/// Sees through what was decided before, whatever the rollout does now.
+fn carry_on(facts: &Facts<'_>) -> Option<Step> {
+    let record = facts.record;
+    let mut next = record.clone();
+    next.replicas.retain(|replica| {
+        let over = facts.sightings.of(replica).stopped;
+        replica.stage != ReplicaStage::Stopping || !over
+    });
+    for replica in &mut next.replicas {
+        let sighting = facts.sightings.of(replica);
+        replica.stage = match replica.stage {
+            ReplicaStage::Starting if sighting.seen == Seen::Answering => ReplicaStage::Serving,
+            ReplicaStage::Draining if sighting.drained => ReplicaStage::Stopping,
+            // A job that ended by itself is cleaned up like one that was stopped.
+            ReplicaStage::Starting | ReplicaStage::Serving if sighting.seen == Seen::Gone => {
+                ReplicaStage::Stopping
+            }
+            stage => stage,
+        };
+    }
+    if next.replicas != record.replicas {
+        return Some(Step::Write(Box::new(next)));
+    }
+    let sighting = |replica: &&Replica| facts.sightings.of(replica);
+    let in_stage = |stage| record.replicas.iter().filter(move |replica| replica.stage == stage);
+    let to_stop = in_stage(ReplicaStage::Stopping).next();
+    let to_start = in_stage(ReplicaStage::Starting).find(|replica| !sighting(replica).requested);
+    to_stop.map(|r| Step::Stop(r.number)).or(to_start.map(|r| Step::Start(r.number)))
+}
+
+/// Why the new version is no good, if so. Turning back is final, so it isn't asked again.
+fn failure(facts: &Facts<'_>, rollout: &Rollout) -> Option<String> {
+    if rollout.phase == Phase::RollingBack {
+        return None;
+    }
+    let new = of_version(facts.record, &rollout.to);
+    let failed = new.into_iter().find_map(|replica| facts.sightings.of(replica).failed);
+    match (failed, facts.verdict) {
+        (Some(why), _) => Some(why),
+        (None, Verdict::Unhealthy(why)) if rollout.phase == Phase::Soaking => Some(why.clone()),
+        _ => None,
+    }
+}
+
+fn turn_back(record: &mut ServiceRecord, why: &str) {
+    if let Some(rollout) = &mut record.rollout {
+        roll_back(rollout, why);
+    }
+}
+
+/// Replicas of a version that are there to stay.
+fn of_version<'a>(record: &'a ServiceRecord, version: &str) -> Vec<&'a Replica> {
+    let stays = |r: &&Replica| matches!(r.stage, ReplicaStage::Starting | ReplicaStage::Serving);
+    record.replicas.iter().filter(stays).filter(|replica| replica.version == version).collect()
+}
+
+fn of_others<'a>(record: &'a ServiceRecord, version: &str) -> Vec<&'a Replica> {
+    let stays = |r: &&Replica| matches!(r.stage, ReplicaStage::Starting | ReplicaStage::Serving);
+    record.replicas.iter().filter(stays).filter(|replica| replica.version != version).collect()
+}
+
+/// Whether the level and a spare answer without this replica. One that doesn't answer
+/// takes nothing away.
+fn may_drain(facts: &Facts<'_>, rollout: &Rollout, replica: &Replica, spare: bool) -> bool {
+    let answering = facts.sightings.answering(facts.record);
+    if !answering.contains(&replica.number) {
+        return true;
+    }
+    let rest: Vec<u32> = answering.into_iter().filter(|n| *n != replica.number).collect();
+    let most = rollout.surge.saturating_sub(1);
+    let spare = if spare { facts.sightings.fullest_machine(&rest).min(most) } else { 0 };
+    rest.len() as u32 >= rollout.level + spare
+}
+
+/// Drains one of these, one that doesn't answer first.
+fn drain_one(
+    facts: &Facts<'_>,
+    rollout: &Rollout,
+    candidates: &[&Replica],
+    spare: bool,
+) -> Option<Step> {
+    let silent = candidates.iter().find(|replica| !facts.sightings.answers(replica));
+    let chosen = silent.or(candidates.first())?;
+    if !may_drain(facts, rollout, chosen, spare) {
+        return None;
+    }
+    let number = chosen.number;
+    Some(change(facts.record, |next| {
+        if let Some(replica) = next.replica_mut(number) {
+            replica.stage = ReplicaStage::Draining;
+        }
+    }))
+}
+
+/// Adds replicas of a version up to `wanted`, within the surge.
+fn add(facts: &Facts<'_>, rollout: &Rollout, version: &str, wanted: u32) -> Option<Step> {
+    let have = of_version(facts.record, version).len() as u32;
+    let all = facts.record.replicas.len() as u32;
+    let room = (rollout.size + rollout.surge).saturating_sub(all);
+    let count = wanted.saturating_sub(have).min(room);
+    (count > 0).then(|| {
+        change(facts.record, |next| {
+            for _ in 0..count {
+                next.add_replica(version, facts.job_base);
+            }
+        })
+    })
+}
+
+fn step_forward(facts: &Facts<'_>, rollout: &Rollout) -> Step {
+    let old = of_others(facts.record, &rollout.to);
+    let new = rollout.wanted_new();
+    let old_left = rollout.size - new;
+    let wanted = new.max(rollout.size.saturating_sub(old.len() as u32)) + rollout.surge;
+    if let Some(step) = add(facts, rollout, &rollout.to, wanted) {
+        return step;
+    }
+    if old.len() as u32 > old_left {
+        let drained = drain_one(facts, rollout, &old, true);
+        return drained.unwrap_or_else(|| Step::Wait(why_waiting(facts)));
+    }
+    let leaving =
+        facts.record.replicas.len() > old.len() + of_version(facts.record, &rollout.to).len();
+    let answering = of_version(facts.record, &rollout.to)
+        .into_iter()
+        .filter(|replica| facts.sightings.answers(replica))
+        .count() as u32;
+    if leaving || answering < new {
+        return Step::Wait(why_waiting(facts));
+    }
+    change(facts.record, |next| {
+        if let Some(rollout) = &mut next.rollout {
+            rollout.enter(Phase::Soaking, format!("{answering} new replicas answer"));
+        }
+    })
+}
+
+fn soak(facts: &Facts<'_>, rollout: &Rollout) -> Step {
+    if *facts.verdict != Verdict::Healthy {
+        return Step::Wait(Reason::Soaking);
+    }
+    let last = rollout.last_step();
+    change(facts.record, |next| {
+        let Some(rollout) = &mut next.rollout else { return };
+        if last {
+            rollout.enter(Phase::Finishing, "the last step is healthy");
+        } else {
+            rollout.step += 1;
+            rollout.enter(Phase::Stepping, "the step before is healthy");
+        }
+    })
+}
+
+/// One version is left: those beyond the size go, and the rollout ends once all answer.
+fn finish(facts: &Facts<'_>, rollout: &Rollout, end: Phase) -> Step {
+    let version = rollout.target().to_owned();
+    let left = of_version(facts.record, &version);
+    let size = rollout.size;
+    if let Some(step) = add(facts, rollout, &version, size) {
+        return step;
+    }
+    if left.len() as u32 > size {
+        let drained = drain_one(facts, rollout, &left, false);
+        return drained.unwrap_or(Step::Wait(Reason::NotAnswering));
+    }
+    if facts.record.replicas.len() as u32 > size {
+        return Step::Wait(Reason::Draining);
+    }
+    if (facts.sightings.answering(facts.record).len() as u32) < size {
+        return Step::Wait(Reason::NotAnswering);
+    }
+    change(facts.record, |next| {
+        next.version = version;
+        if let Some(rollout) = &mut next.rollout {
+            rollout.enter(end, "all replicas run it");
+        }
+    })
+}
+
+fn bring_back(facts: &Facts<'_>, rollout: &Rollout) -> Step {
+    let unwanted = of_others(facts.record, &rollout.from);
+    let any_left = facts.record.replicas.iter().any(|replica| replica.version != rollout.from);
+    if !any_left {
+        return finish(facts, rollout, Phase::RolledBack);
+    }
+    if let Some(step) = add(facts, rollout, &rollout.from, rollout.size + rollout.surge) {
+        return step;
+    }
+    let drained = drain_one(facts, rollout, &unwanted, true);
+    drained.unwrap_or_else(|| Step::Wait(why_waiting(facts)))
+}
+
+fn why_waiting(facts: &Facts<'_>) -> Reason {
+    let starting = |r: &&Replica| r.stage == ReplicaStage::Starting;
+    let seen = |r: &Replica| facts.sightings.of(r).seen;
+    let mut waiting = facts.record.replicas.iter().filter(starting);
+    if waiting.clone().any(|replica| seen(replica) == Seen::NoRoom) {
+        Reason::NoRoom
+    } else if waiting.next().is_some() {
+        Reason::NotAnswering
+    } else if facts.record.replicas.iter().any(|r| r.stage == ReplicaStage::Draining) {
+        Reason::Draining
+    } else {
+        Reason::NotAnswering
+    }
+}
--- /dev/null
+++ b/crates/stonewheel-rollout/src/routes.rs
@@ -0,0 +1,169 @@
+//! The way in for operators' commands, over HTTP:
+//!
+//! - `GET /rollouts/{service}`: the record, and where its replicas take requests;
+//! - `POST /rollouts/{service}`: a command, with an id that its caller chose.
+
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use hyper_util::service::TowerToHyperService;
+use serde::{Deserialize, Serialize};
+use stonewheel_http_server::{ConnectionLimits, accept_each, serve_connection};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
+use tokio_util::sync::CancellationToken;
+use warp::{
+    Filter, Rejection, Reply,
+    http::{StatusCode, header},
+    reply::Response,
+};
+
+use crate::{
+    CommandFailure, Executor,
+    command::{Command, CommandError, CommandKind},
+    record::ServiceRecord,
+};
+
+/// Operators' connections at once.
+const MOST_CONNECTIONS: usize = 32;
+/// The longest body of a command.
+const LONGEST_BODY: u64 = 4096;
+/// A connection reads so much ahead.
+const BUFFER: usize = 16 * 1024;
+/// How long a connection may idle.
+const IDLE: Duration = Duration::from_secs(60);
+/// When to come back after a refusal that time heals, in seconds.
+const RETRY_AFTER: &str = "1";
+
+/// A command as it comes in.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CommandBody {
+    id: String,
+    #[serde(flatten)]
+    ask: Ask,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(tag = "command", rename_all = "snake_case")]
+enum Ask {
+    Deploy { version: String, replicas: u32 },
+    Start { to: String, steps: Vec<u8>, surge: u32 },
+    Pause,
+    Resume,
+    RollBack,
+    Abort,
+}
+
+#[derive(Serialize)]
+struct Status {
+    record: ServiceRecord,
+    endpoints: Vec<String>,
+}
+
+#[derive(Serialize)]
+struct Done {
+    done: bool,
+}
+
+#[derive(Serialize)]
+struct ErrorBody {
+    error: String,
+}
+
+fn refuse(status: StatusCode, reason: impl Into<String>) -> Response {
+    let body = warp::reply::json(&ErrorBody { error: reason.into() });
+    let mut response = warp::reply::with_status(body, status).into_response();
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        let retry_after = header::HeaderValue::from_static(RETRY_AFTER);
+        response.headers_mut().insert(header::RETRY_AFTER, retry_after);
+    }
+    response
+}
+
+fn failure(failure: &CommandFailure) -> Response {
+    let status = match failure {
+        CommandFailure::Refused(CommandError::UnderWay(_) | CommandError::NoneUnderWay) => {
+            StatusCode::CONFLICT
+        }
+        CommandFailure::Refused(_) => StatusCode::UNPROCESSABLE_ENTITY,
+        CommandFailure::UnknownService(_) => StatusCode::NOT_FOUND,
+        CommandFailure::Unavailable | CommandFailure::Unknown => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    refuse(status, failure.to_string())
+}
+
+async fn show(service: String, executor: Arc<Executor>) -> Response {
+    let endpoints = executor.endpoints(&service).await;
+    match (executor.record(&service), endpoints) {
+        (Some(record), Some(endpoints)) => {
+            warp::reply::json(&Status { record: record.value, endpoints }).into_response()
+        }
+        _ => refuse(StatusCode::NOT_FOUND, format!("service {service} is not known")),
+    }
+}
+
+async fn command(service: String, body: CommandBody, executor: Arc<Executor>) -> Response {
+    let kind = match body.ask {
+        Ask::Deploy { version, replicas } => {
+            let deployed = executor.create(&service, &version, replicas).await;
+            return answer(deployed);
+        }
+        Ask::Start { to, steps, surge } => CommandKind::Start { to, steps, surge },
+        Ask::Pause => CommandKind::Pause,
+        Ask::Resume => CommandKind::Resume,
+        Ask::RollBack => CommandKind::RollBack,
+        Ask::Abort => CommandKind::Abort,
+    };
+    answer(executor.command(&service, &Command { id: body.id, kind }).await)
+}
+
+fn answer(outcome: Result<(), CommandFailure>) -> Response {
+    match outcome {
+        Ok(()) => warp::reply::json(&Done { done: true }).into_response(),
+        Err(reason) => failure(&reason),
+    }
+}
+
+fn routes(
+    executor: Arc<Executor>,
+) -> impl Filter<Extract = (impl Reply,), Error = Infallible> + Clone + Send + Sync + 'static {
+    let with_executor = warp::any().map(move || executor.clone());
+    let show =
+        warp::path!("rollouts" / String).and(warp::get()).and(with_executor.clone()).then(show);
+    let command = warp::path!("rollouts" / String)
+        .and(warp::post())
+        .and(warp::body::content_length_limit(LONGEST_BODY))
+        .and(warp::body::json())
+        .and(with_executor)
+        .then(command);
+    show.or(command)
+        .unify()
+        .recover(|rejection: Rejection| async move { Ok::<_, Infallible>(rejected(&rejection)) })
+        .unify()
+}
+
+fn rejected(rejection: &Rejection) -> Response {
+    if let Some(error) = rejection.find::<warp::body::BodyDeserializeError>() {
+        refuse(StatusCode::BAD_REQUEST, error.to_string())
+    } else if rejection.find::<warp::reject::PayloadTooLarge>().is_some() {
+        refuse(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")
+    } else if rejection.is_not_found() {
+        refuse(StatusCode::NOT_FOUND, "no such path")
+    } else {
+        refuse(StatusCode::BAD_REQUEST, "the request can't be read")
+    }
+}
+
+/// Takes commands until told to stop.
+pub async fn serve(executor: Arc<Executor>, listener: TcpListener, stop: CancellationToken) {
+    let service = warp::service(routes(executor));
+    let limits = ConnectionLimits { header_time: IDLE, buffer: BUFFER };
+    let connection = move |stream: TcpStream, stop: CancellationToken| {
+        let service = TowerToHyperService::new(service.clone());
+        serve_connection(stream, service, limits, stop)
+    };
+    let slots = Arc::new(Semaphore::new(MOST_CONNECTIONS));
+    accept_each(listener, slots, stop, connection).await;
+}
--- /dev/null
+++ b/crates/stonewheel-rollout/src/settings.rs
@@ -0,0 +1,209 @@
+//! The operators' settings of this part: a section `rollout`, and one `service NAME` for
+//! each service.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use garde::Validate;
+use stonewheel_settings::{Section, SectionError, check_name, known_priority, path, whole};
+
+/// The section with what holds for all services.
+const GENERAL_SECTION: &str = "rollout";
+/// The sections of services are called this and the service's name.
+const SERVICE_SECTION: &str = "service ";
+
+/// A millisecond: nothing here is measured more finely.
+const SHORTEST_S: f64 = 0.001;
+/// A day: longer waits are mistakes.
+const LONGEST_S: f64 = 86_400.0;
+
+/// The times of a rollout, and what its health gate allows.
+#[derive(Clone, Copy, Debug, PartialEq, Validate)]
+pub struct RolloutSettings {
+    /// How often replicas are looked at.
+    #[garde(range(min = SHORTEST_S, max = LONGEST_S))]
+    pub look_s: f64,
+    /// A replica that has a place and doesn't answer for so long has failed.
+    #[garde(range(min = SHORTEST_S, max = LONGEST_S), custom(more_looks(self.look_s)))]
+    pub start_s: f64,
+    /// How long a step is watched before the next one.
+    #[garde(range(min = SHORTEST_S, max = LONGEST_S), custom(more_looks(self.look_s)))]
+    pub soak_s: f64,
+    /// How long a replica drains: longer than balancers and clients may lag, and than
+    /// the longest request.
+    #[garde(range(min = SHORTEST_S, max = LONGEST_S))]
+    pub drain_s: f64,
+    /// Looks at new replicas that may go unanswered, as a share of all within a step.
+    #[garde(range(min = 0.0, max = 1.0))]
+    pub most_failures: f64,
+}
+
+/// A wait that is shorter than a few looks says nothing.
+fn more_looks(look_s: f64) -> impl FnOnce(&f64, &()) -> garde::Result {
+    const LEAST_LOOKS: f64 = 3.0;
+    move |value, &()| {
+        if *value >= look_s * LEAST_LOOKS {
+            return Ok(());
+        }
+        Err(garde::Error::new(format!("must be at least {LEAST_LOOKS} times look_s")))
+    }
+}
+
+/// One service: its replicas as the scheduler is to place them.
+#[derive(Clone, Debug, PartialEq, Validate)]
+pub struct ServiceSettings {
+    /// The team that pays for it.
+    #[garde(length(bytes, min = 1, max = 200))]
+    pub team: String,
+    /// Its class of jobs.
+    #[garde(length(bytes, min = 1, max = 200))]
+    pub class: String,
+    /// How urgent its replicas are, in the submission's terms.
+    #[garde(custom(known_priority))]
+    pub priority: String,
+    /// The size of an image of any version.
+    #[garde(range(min = 0.0, max = 1e6))]
+    pub image_gb: f64,
+    /// What each replica takes.
+    #[garde(range(min = 0.0, max = 1e6))]
+    pub cpus: f64,
+    /// What each replica takes.
+    #[garde(range(min = 0.0, max = 1e6))]
+    pub gpus: f64,
+    /// What each replica takes.
+    #[garde(range(min = 0.0, max = 1e9))]
+    pub memory_gb: f64,
+    /// The port at which a replica answers on its machine.
+    #[garde(range(min = 1.0, max = 65535.0), custom(whole))]
+    pub port: f64,
+    /// The path that a replica answers with 200 once it can take requests.
+    #[garde(custom(path))]
+    pub health: String,
+}
+
+/// All settings of this part.
+#[derive(Clone, Debug, PartialEq, Validate)]
+pub struct Rollouts {
+    /// Where commands are taken.
+    #[garde(skip)]
+    pub listen: SocketAddr,
+    /// The times of rollouts.
+    #[garde(dive)]
+    pub times: RolloutSettings,
+    /// The services, by name.
+    #[garde(dive)]
+    pub services: BTreeMap<String, ServiceSettings>,
+}
+
+/// Whether a section belongs to this part.
+pub fn is_section(name: &str) -> bool {
+    name == GENERAL_SECTION || name.starts_with(SERVICE_SECTION)
+}
+
+/// Reads the sections of this part out of an INI file's. None if there is no section
+/// `rollout`. Sections of other parts are passed over.
+pub fn parse_sections<'a>(
+    sections: impl Iterator<Item = (&'a str, Vec<(&'a str, &'a str)>)>,
+) -> Result<Option<Rollouts>, SectionError> {
+    let mut general_settings = None;
+    let mut services = BTreeMap::new();
+    for (name, pairs) in sections {
+        if name == GENERAL_SECTION {
+            if general_settings.replace(general(Section::new(name, &pairs)?)?).is_some() {
+                return Err(SectionError::stands_twice(name));
+            }
+        } else if let Some(service) = name.strip_prefix(SERVICE_SECTION) {
+            check_name(name, service)?;
+            let parsed = service_settings(Section::new(name, &pairs)?)?;
+            if services.insert(service.to_owned(), parsed).is_some() {
+                return Err(SectionError::stands_twice(name));
+            }
+        }
+    }
+    let needs = |field: &str, section: &str| SectionError {
+        field: field.into(),
+        reason: format!("needs a section [{section}]"),
+    };
+    let Some((listen, times)) = general_settings else {
+        return match services.keys().next() {
+            Some(name) => Err(needs(&format!("{SERVICE_SECTION}{name}"), GENERAL_SECTION)),
+            None => Ok(None),
+        };
+    };
+    if services.is_empty() {
+        return Err(needs(GENERAL_SECTION, "service NAME"));
+    }
+    let rollouts = Rollouts { listen, times, services };
+    rollouts.validate().map_err(|report| first_error(&report))?;
+    Ok(Some(rollouts))
+}
+
+/// The first mistake of a report, in the file's terms.
+fn first_error(report: &garde::Report) -> SectionError {
+    let Some((path, error)) = report.iter().next() else {
+        return SectionError { field: GENERAL_SECTION.into(), reason: "is invalid".into() };
+    };
+    let path = path.to_string();
+    let field = match path.strip_prefix("services.").and_then(|rest| rest.rsplit_once('.')) {
+        Some((name, key)) => {
+            format!("{SERVICE_SECTION}{}.{key}", name.trim_matches(['[', ']', '"']))
+        }
+        None => format!("{GENERAL_SECTION}.{}", path.trim_start_matches("times.")),
+    };
+    SectionError { field, reason: error.message().into() }
+}
+
+fn general(mut section: Section<'_>) -> Result<(SocketAddr, RolloutSettings), SectionError> {
+    let listen = section.text("listen", Some("127.0.0.1:8091"))?;
+    let listen = listen.parse().map_err(|_| section.error("listen", "must be address:port"))?;
+    let look_s = section.number("look_s", Some(1.0))?;
+    let times = RolloutSettings {
+        look_s,
+        start_s: section.number("start_s", None)?,
+        soak_s: section.number("soak_s", Some(look_s * 60.0))?,
+        drain_s: section.number("drain_s", None)?,
+        most_failures: section.number("most_failures", Some(0.05))?,
+    };
+    section.end()?;
+    Ok((listen, times))
+}
+
+fn service_settings(mut section: Section<'_>) -> Result<ServiceSettings, SectionError> {
+    let settings = ServiceSettings {
+        team: section.text("team", None)?,
+        class: section.text("class", None)?,
+        priority: section.text("priority", Some("production"))?,
+        image_gb: section.number("image_gb", None)?,
+        cpus: section.number("cpus", None)?,
+        gpus: section.number("gpus", None)?,
+        memory_gb: section.number("memory_gb", None)?,
+        port: section.number("port", None)?,
+        health: section.text("health", Some("/health"))?,
+    };
+    section.end()?;
+    Ok(settings)
+}
+
+impl RolloutSettings {
+    /// How often replicas are looked at.
+    pub fn look(&self) -> Duration {
+        Duration::from_secs_f64(self.look_s)
+    }
+
+    /// How long a start may take from a place to an answer.
+    pub fn start(&self) -> Duration {
+        Duration::from_secs_f64(self.start_s)
+    }
+
+    /// How long a step is watched.
+    pub fn soak(&self) -> Duration {
+        Duration::from_secs_f64(self.soak_s)
+    }
+
+    /// How long a replica drains.
+    pub fn drain(&self) -> Duration {
+        Duration::from_secs_f64(self.drain_s)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod lease_renewal;
 pub mod node;
 pub mod peers;
+pub mod replica_jobs;
+pub mod rollout;
 pub mod scheduler;
 pub mod settings;
 pub mod state;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,11 +1,16 @@
 //! The program: arguments, logging, and the library's node on its listeners.
 
-use std::{path::PathBuf, process::ExitCode, sync::Arc};
+use std::{
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+    process::ExitCode,
+    sync::Arc,
+};
 
 use clap::Parser;
 use stonewheel::{
-    activation, activation::HttpProbe, cloud::HttpCloud, coordination, fleet::HttpWorkers,
-    node::Node, settings::Settings, state,
+    activation, cloud::HttpCloud, coordination, fleet::HttpWorkers, node::Node,
+    replica_jobs::HttpProbe, rollout, settings::Settings, state,
 };
 use tokio::net::TcpListener;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -68,23 +73,47 @@
         let cloud = Arc::new(HttpCloud::new(&settings));
         let seed = rand::random();
         let workers = Arc::new(HttpWorkers::new(&settings));
-        let probe = Arc::new(HttpProbe::new(&settings));
         let node = Node::new(settings, state, cloud, workers, seed);
         let stop = CancellationToken::new();
         let parts = TaskTracker::new();
-        let coordinator = coordination::coordinator(&node);
-        if let Some(activator) = activation::activator(&node, coordinator.clone(), probe, seed) {
-            parts.spawn(coordinator.run(stop.clone()));
-            let address = activator.settings().listen.address(public.local_addr()?.ip());
-            let listener = TcpListener::bind(address).await.inspect_err(|error| {
-                tracing::error!(%address, %error, "activation.listen can't be had");
-            })?;
-            parts.spawn(activator.clone().run(stop.clone()));
-            parts.spawn(stonewheel_activation::serve(activator, listener, stop.clone()));
-        }
+        start_parts(&node, public.local_addr()?.ip(), seed, &parts, &stop).await?;
         node.run(public, internal, stop).await;
         parts.close();
         parts.wait().await;
         Ok(())
     })
 }
+
+/// Starts the parts that the operators' settings switch on.
+async fn start_parts(
+    node: &Arc<Node>,
+    public: IpAddr,
+    seed: u64,
+    parts: &TaskTracker,
+    stop: &CancellationToken,
+) -> std::io::Result<()> {
+    let probe = Arc::new(HttpProbe::new(&node.settings));
+    let coordinator = coordination::coordinator(node);
+    let activator = activation::activator(node, coordinator.clone(), probe.clone(), seed);
+    let executor = rollout::executor(node, coordinator.clone(), probe, seed);
+    if activator.is_some() || executor.is_some() {
+        parts.spawn(coordinator.run(stop.clone()));
+    }
+    if let Some(activator) = activator {
+        let address = activator.settings().listen.address(public);
+        let listener = bind(address, "activation.listen").await?;
+        parts.spawn(activator.clone().run(stop.clone()));
+        parts.spawn(stonewheel_activation::serve(activator, listener, stop.clone()));
+    }
+    if let (Some(executor), Some(settings)) = (executor, &node.settings.operator.rollout) {
+        let listener = bind(settings.listen, "rollout.listen").await?;
+        parts.spawn(executor.clone().run(stop.clone()));
+        parts.spawn(stonewheel_rollout::serve(executor, listener, stop.clone()));
+    }
+    Ok(())
+}
+
+async fn bind(address: SocketAddr, setting: &str) -> std::io::Result<TcpListener> {
+    let listener = TcpListener::bind(address).await;
+    listener.inspect_err(|error| tracing::error!(setting, %address, %error, "can't listen"))
+}
--- /dev/null
+++ b/src/rollout.rs
@@ -0,0 +1,114 @@
+//! Stepped rollout onto the scheduler: each replica of a service is a service job of one
+//! task, and a version is the image that it runs.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use futures_util::future::BoxFuture;
+use stonewheel_coordination::Coordinator;
+use stonewheel_rollout::{
+    Executor, HostError, Look, ReplicaHost, ReplicaOrder, ServiceSettings, record::job_key,
+};
+
+use crate::{
+    node::{Node, OwnedReply, Trouble},
+    replica_jobs::{JobLook, ReplicaJobs, ReplicaNeeds, ReplicaProbe, job_spec},
+};
+
+/// Replicas as service jobs of one task each.
+pub struct SchedulerHost {
+    jobs: ReplicaJobs,
+    services: BTreeMap<String, ServiceSettings>,
+}
+
+impl SchedulerHost {
+    fn service(&self, order: &ReplicaOrder) -> Result<&ServiceSettings, HostError> {
+        let unknown = || HostError::Rejected(format!("no service {}", order.service));
+        self.services.get(&order.service).ok_or_else(unknown)
+    }
+
+    async fn start_job(&self, order: &ReplicaOrder) -> Result<(), HostError> {
+        let needs = needs(self.service(order)?, &order.version);
+        let spec = job_spec(&order.job, &needs).map_err(HostError::Rejected)?;
+        let marker = job_key(&order.job);
+        outcome(self.jobs.node.submit_owned(&spec, &order.fence, &marker).await)
+    }
+
+    async fn look_at(&self, order: &ReplicaOrder) -> Result<Look, HostError> {
+        let service = self.service(order)?;
+        let placed = match self.jobs.look(&order.job, service.port as u16, &service.health).await {
+            JobLook::Gone => return Ok(Look::Gone),
+            JobLook::Pending => return Ok(Look::NoRoom),
+            JobLook::Placed(placed) => placed,
+        };
+        let Some(replica) = placed.into_iter().next() else { return Ok(Look::NoRoom) };
+        let machine = replica.machine.to_string();
+        let endpoint = replica.endpoint.to_string();
+        Ok(if replica.answers {
+            Look::Answering { machine, endpoint }
+        } else {
+            Look::Silent { machine }
+        })
+    }
+
+    async fn stop_job(&self, order: &ReplicaOrder) -> Result<(), HostError> {
+        let marker = job_key(&order.job);
+        outcome(self.jobs.node.withdraw_owned(&order.job, &order.fence, &marker).await)
+    }
+}
+
+impl ReplicaHost for SchedulerHost {
+    fn start(&self, order: &ReplicaOrder) -> BoxFuture<'_, Result<(), HostError>> {
+        let order = order.clone();
+        Box::pin(async move { self.start_job(&order).await })
+    }
+
+    fn look(&self, order: &ReplicaOrder) -> BoxFuture<'_, Result<Look, HostError>> {
+        let order = order.clone();
+        Box::pin(async move { self.look_at(&order).await })
+    }
+
+    fn stop(&self, order: &ReplicaOrder) -> BoxFuture<'_, Result<(), HostError>> {
+        let order = order.clone();
+        Box::pin(async move { self.stop_job(&order).await })
+    }
+}
+
+fn needs<'a>(service: &'a ServiceSettings, version: &'a str) -> ReplicaNeeds<'a> {
+    ReplicaNeeds {
+        team: &service.team,
+        class: &service.class,
+        priority: &service.priority,
+        image: version,
+        image_gb: service.image_gb,
+        cpus: service.cpus,
+        gpus: service.gpus,
+        memory_gb: service.memory_gb,
+        replicas: 1,
+    }
+}
+
+fn outcome(reply: Result<OwnedReply, Trouble>) -> Result<(), HostError> {
+    match reply {
+        Ok(OwnedReply::Done) => Ok(()),
+        // Named at random among as many as 16 digits hold: told, and turned back from.
+        Ok(OwnedReply::NameTaken) => Err(HostError::Rejected("its job's id is taken".into())),
+        Ok(OwnedReply::Stale) => Err(HostError::Stale),
+        Ok(OwnedReply::Impossible(reason)) => Err(HostError::Rejected(reason)),
+        Err(trouble) => Err(HostError::Unavailable(trouble.to_string())),
+    }
+}
+
+/// The executor of this controller, if the operators' settings switch it on.
+pub fn executor(
+    node: &Arc<Node>,
+    coordinator: Arc<Coordinator>,
+    probe: Arc<dyn ReplicaProbe>,
+    seed: u64,
+) -> Option<Arc<Executor>> {
+    let settings = node.settings.operator.rollout.clone()?;
+    let jobs = ReplicaJobs::new(node.clone(), probe);
+    let names: Vec<String> = settings.services.keys().cloned().collect();
+    let host = Arc::new(SchedulerHost { jobs, services: settings.services.clone() });
+    let most = node.settings.state_limits().value_bytes;
+    Some(Executor::new(coordinator, settings.times, &names, host, most, seed))
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -159,32 +159,41 @@
         if let Some(path) = operator {
             let file = path.display().to_string();
             settings.operator = Operator::parse(&file, &read(path)?)?;
-            settings.check_activation(&file)?;
+            settings.check_parts(&file)?;
         }
         Ok(settings)
     }
 
-    /// What the models that scale to zero need of the deployment.
-    pub fn check_activation(&self, file: &str) -> Result<(), SettingsError> {
+    /// What the parts that operators switched on need of the deployment.
+    pub fn check_parts(&self, file: &str) -> Result<(), SettingsError> {
         let error =
             |field: String, reason: String| SettingsError { file: file.into(), field, reason };
-        let Some(activation) = &self.operator.activation else { return Ok(()) };
-        for (name, model) in &activation.models {
-            if self.team(&model.team).is_none() {
-                let reason = format!("cluster.teams has no {}", model.team);
-                return Err(error(format!("model {name}.team"), reason));
+        let operator = &self.operator;
+        let models = operator.activation.iter().flat_map(|part| &part.models);
+        let models = models.map(|(name, model)| (format!("model {name}"), &model.team));
+        let services = operator.rollout.iter().flat_map(|part| &part.services);
+        let services = services.map(|(name, service)| (format!("service {name}"), &service.team));
+        for (section, team) in models.chain(services) {
+            if self.team(team).is_none() {
+                let reason = format!("cluster.teams has no {team}");
+                return Err(error(format!("{section}.team"), reason));
             }
         }
         let conditions = self.state_limits().transaction_conditions();
+        let part = match (&operator.activation, &operator.rollout) {
+            (None, None) => return Ok(()),
+            (Some(_), _) => "activation",
+            (None, Some(_)) => "rollout",
+        };
         if !stonewheel_activation::members_fit(self.members.len() + 1, conditions) {
             let reason = format!("a transaction of {conditions} conditions can't name all members");
-            return Err(error("activation".into(), reason));
+            return Err(error(part.into(), reason));
         }
         let names = self.members.iter().map(|m| &m.member).chain([&self.member]);
         for name in names {
             let fits = name.len() <= LONGEST_KEY_PART && name.bytes().all(|b| b.is_ascii_graphic());
             if !fits || name.contains('/') {
-                return Err(error("activation".into(), format!("{name:?} can't be part of a key")));
+                return Err(error(part.into(), format!("{name:?} can't be part of a key")));
             }
         }
         Ok(())
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -1,6 +1,8 @@
 //! The operators' own settings (INI).
 
-use stonewheel_activation::{ActivationSettings, is_section, parse_sections};
+use stonewheel_activation::ActivationSettings;
+use stonewheel_rollout::Rollouts;
+use stonewheel_settings::SectionError;
 
 use super::SettingsError;
 
@@ -23,6 +25,8 @@
     pub expected_machines: f64,
     /// Models that scale to zero, if that is switched on.
     pub activation: Option<ActivationSettings>,
+    /// Services that are rolled out in steps, if that is switched on.
+    pub rollout: Option<Rollouts>,
 }
 
 impl Default for Operator {
@@ -35,6 +39,7 @@
             headroom: 0.4,
             expected_machines: 0.0,
             activation: None,
+            rollout: None,
         }
     }
 }
@@ -50,9 +55,12 @@
         };
         let ini = ini::Ini::load_from_str(text).map_err(|e| error("syntax", &e.to_string()))?;
         let mut operator = Self::default();
-        let sections = ini.iter().filter_map(|(name, keys)| Some((name?, keys.iter().collect())));
-        operator.activation = parse_sections(sections).map_err(|e| error(&e.field, &e.reason))?;
-        for (section, keys) in ini.iter().filter(|(name, _)| !name.is_some_and(is_section)) {
+        let sections =
+            || ini.iter().filter_map(|(name, keys)| Some((name?, keys.iter().collect())));
+        let mistake = |e: SectionError| error(&e.field, &e.reason);
+        operator.activation = stonewheel_activation::parse_sections(sections()).map_err(mistake)?;
+        operator.rollout = stonewheel_rollout::parse_sections(sections()).map_err(mistake)?;
+        for (section, keys) in ini.iter().filter(|(name, _)| !name.is_some_and(is_of_a_part)) {
             for (key, value) in keys.iter() {
                 let field = format!("{}.{key}", section.unwrap_or(""));
                 let slot = match field.as_str() {
@@ -77,3 +85,8 @@
         Ok(operator)
     }
 }
+
+/// Whether a section is read by a part of its own.
+fn is_of_a_part(section: &str) -> bool {
+    stonewheel_activation::is_section(section) || stonewheel_rollout::is_section(section)
+}
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -83,21 +83,21 @@
     assert_eq!(activation.models["rush-router"].load_s, 120.0, "comments end a line");
     let mut settings = Settings::parse("f", GOOD).expect("valid");
     settings.operator = operator;
-    let error = settings.check_activation("o").expect_err("no such team");
+    let error = settings.check_parts("o").expect_err("no such team");
     assert_eq!(error.field, "model rush-router.team");
     let team =
         |name: &str| Team { name: name.into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 };
     settings.cluster.teams.push(team("station-ops-00"));
-    assert_eq!(settings.check_activation("o"), Ok(()));
+    assert_eq!(settings.check_parts("o"), Ok(()));
     settings.member = "m 0".into();
-    assert_eq!(settings.check_activation("o").expect_err("no key").field, "activation");
+    assert_eq!(settings.check_parts("o").expect_err("no key").field, "activation");
     settings.member = "m-0".into();
     let member = |number| Member {
         member: format!("m-{number}"),
         endpoint: "127.0.0.1:9".parse().expect("an address"),
     };
     settings.members = (1..200).map(member).collect();
-    assert_eq!(settings.check_activation("o").expect_err("too many").field, "activation");
+    assert_eq!(settings.check_parts("o").expect_err("too many").field, "activation");
 }
 
 #[test]
--- a/tests/activation.rs
+++ b/tests/activation.rs
@@ -15,10 +15,11 @@
 use futures_util::future::BoxFuture;
 use serde_json::json;
 use stonewheel::{
-    activation::{ReplicaProbe, activator},
+    activation::activator,
     coordination::coordinator,
     node::OwnedReply,
     protocol::{Condition, JobSpec, JobState},
+    replica_jobs::ReplicaProbe,
 };
 use stonewheel_activation::{ActivationSettings, Activator, Refusal, parse_sections};
 use tokio::time::{Instant, sleep};
