Rollout through the scheduler: a story with a leader that ends and a machine lost

Cause: a deployment of a service that exists was answered as unknown where the watch lagged; now the record is read again and decides.

Measured: the story passes; level kept, replicas of the old version withdrawn.

--- a/crates/stonewheel-rollout/src/executor.rs
+++ b/crates/stonewheel-rollout/src/executor.rs
@@ -152,10 +152,18 @@
             record.add_replica(version, job_base);
         }
         let before = Versioned { version: 0, value: record.clone() };
-        self.commit(service, &before, &record).await.map_err(|error| match error {
-            StateError::Refused(_) => CommandFailure::Unavailable,
-            _ => CommandFailure::Unknown,
-        })
+        match self.commit(service, &before, &record).await {
+            Ok(()) => return Ok(()),
+            Err(StateError::Refused(_)) => return Err(CommandFailure::Unavailable),
+            Err(_) => self.coordinator.refresh().await,
+        }
+        // It shows in the record whether it was carried out.
+        let job = |record: &ServiceRecord| record.replicas.first().map(|r| r.job.clone());
+        match self.record(service) {
+            Some(found) if job(&found.value) == job(&record) => Ok(()),
+            Some(_) => Err(CommandError::Deployed.into()),
+            None => Err(CommandFailure::Unknown),
+        }
     }
 
     /// Whether a record of so many replicas fits.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -27,6 +27,7 @@
     store,
 };
 use stonewheel_activation::ActivationSettings;
+use stonewheel_rollout::Rollouts;
 use tokio::{
     sync::Semaphore,
     time::{Instant, sleep},
@@ -225,6 +226,8 @@
     spread: bool,
     /// Models that scale to zero, for nodes that start from now on.
     activation: Option<ActivationSettings>,
+    /// Services that are rolled out in steps, likewise.
+    rollouts: Option<Rollouts>,
     /// How many times the usual settings' rates and sockets there are, if not once.
     scale: Option<f64>,
 }
@@ -383,6 +386,11 @@
         lock(&self.site).activation = activation;
     }
 
+    /// Nodes that start from now on know these services.
+    pub fn set_rollouts(&self, rollouts: Option<Rollouts>) {
+        lock(&self.site).rollouts = rollouts;
+    }
+
     /// A node's stop token, for what runs beside it.
     pub fn stop_token(&self, at: usize) -> CancellationToken {
         lock(&self.site).nodes[at].as_ref().expect("it runs").1.child_token()
@@ -498,6 +506,7 @@
         // Machines stay long enough for a story to end.
         settings.operator.idle_boots = 10.0;
         settings.operator.activation = lock(&self.site).activation.clone();
+        settings.operator.rollout = lock(&self.site).rollouts.clone();
         settings.members = (0..3)
             .filter(|other| *other != at)
             .map(|other| Member {
