--- a/crates/stonewheel-rollout/src/routes.rs
+++ b/crates/stonewheel-rollout/src/routes.rs
@@ -38,7 +38,6 @@
 
 /// A command as it comes in.
 #[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
 struct CommandBody {
     id: String,
     #[serde(flatten)]
