--- a/crates/stonewheel-rollout/tests/common/deployment.rs
+++ b/crates/stonewheel-rollout/tests/common/deployment.rs
@@ -106,8 +106,7 @@
         tokio::spawn(coordinator.clone().run(stop.clone()));
         let host = self.servers.client(&client);
         let services = [SERVICE.to_owned()];
-        let executor =
-            Executor::new(coordinator, rollout_settings(), &services, host, 8192, seed);
+        let executor = Executor::new(coordinator, rollout_settings(), &services, host, 8192, seed);
         tokio::spawn(executor.clone().run(stop.clone()));
         let running = Running { executor, stop, client };
         self.running.lock().expect("not poisoned").insert(at, running);
