--- a/crates/stonewheel-activation/tests/common/controllers.rs
+++ b/crates/stonewheel-activation/tests/common/controllers.rs
@@ -9,9 +9,8 @@
 };
 
 use stonewheel_activation::{ActivationSettings, Activator, ReplicaStarter, serve};
-use stonewheel_coordination::{Coordinator, Owner, Store, Timing};
-use stonewheel_standins::MemState;
-use stonewheel_state::{Budget, Writer, WriterLimits};
+use stonewheel_coordination::Timing;
+use stonewheel_standins::{MemState, coordinated};
 use tokio::{net::TcpListener, sync::mpsc as commands};
 use tokio_util::sync::CancellationToken;
 
@@ -43,7 +42,7 @@
     /// Starts a controller.
     pub fn start(&self, at: usize, starter: Arc<dyn ReplicaStarter>) -> Controller {
         let client = format!("m-{at}");
-        let api = self.state.client(&client);
+        let state = self.state.clone();
         let (settings, size, session) = (self.settings.clone(), self.size, self.session);
         let (commands, mut received) = commands::unbounded_channel();
         let (tell, told) = mpsc::channel();
@@ -51,25 +50,11 @@
             let runtime =
                 tokio::runtime::Builder::new_current_thread().enable_all().build().expect("runs");
             runtime.block_on(async move {
-                let timeout = session / 4;
-                let limits = WriterLimits {
-                    own_writes_per_s: 100.0,
-                    all_writes_per_s: 100.0,
-                    transaction_writes: 24,
-                    transaction_conditions: 96,
-                    timeout,
-                };
-                let requests = Arc::new(Budget::new(200.0));
-                let writer = Arc::new(Writer::new(api.clone(), limits, requests.clone()));
                 let stop = CancellationToken::new();
-                tokio::spawn(writer.clone().run(stop.clone()));
-                let coordinator = Coordinator::new(
-                    Owner { member: format!("m-{at}"), incarnation: at as u64 },
-                    (0..size).map(|at| format!("m-{at}")).collect(),
-                    Timing { session, state_timeout: timeout },
-                    Store::new(api, requests, writer),
-                );
-                tokio::spawn(coordinator.clone().run(stop.clone()));
+                let timing = Timing { session, state_timeout: session / 4 };
+                let incarnation = at as u64;
+                let coordinator =
+                    coordinated(&state, &client, (at, size), incarnation, timing, &stop);
                 let activator = Activator::new(coordinator, settings, starter, at as u64);
                 let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
                 tell.send(listener.local_addr().expect("an address")).expect("somebody waits");
--- a/crates/stonewheel-activation/tests/common/farm.rs
+++ b/crates/stonewheel-activation/tests/common/farm.rs
@@ -9,7 +9,8 @@
 
 use futures_util::future::BoxFuture;
 use stonewheel_activation::{ReplicaOrder, ReplicaStarter, Replicas, StarterError};
-use tokio::time::{Instant, sleep, sleep_until};
+use stonewheel_standins::Callers;
+use tokio::time::{Instant, sleep};
 
 const LATENCY: Duration = Duration::from_millis(20);
 /// How long a caller waits for an answer that was lost.
@@ -60,23 +61,23 @@
     silent_starts: u32,
     dying_starts: u32,
     rejects: bool,
-    /// Calls of these callers go unanswered, though they are carried out.
-    mute: HashMap<String, u32>,
-    frozen: HashMap<String, Instant>,
-    gone: HashSet<String>,
 }
 
 /// The stand-in.
 #[derive(Clone)]
-pub struct Farm(Arc<Mutex<State>>);
+pub struct Farm {
+    state: Arc<Mutex<State>>,
+    pub callers: Callers,
+}
 
 impl Farm {
     pub fn new(boot: Duration) -> Self {
-        Self(Arc::new(Mutex::new(State { boot, ..State::default() })))
+        let state = Arc::new(Mutex::new(State { boot, ..State::default() }));
+        Self { state, callers: Callers::default() }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.0.lock().expect("not poisoned")
+        self.state.lock().expect("not poisoned")
     }
 
     pub fn client(&self, name: &str) -> Arc<dyn ReplicaStarter> {
@@ -149,21 +150,6 @@
     pub fn taken(&self) -> Vec<String> {
         self.lock().taken.iter().cloned().collect()
     }
-
-    /// The caller's next calls are carried out, but not answered.
-    pub fn mute(&self, name: &str, count: u32) {
-        self.lock().mute.insert(name.into(), count);
-    }
-
-    /// The caller's process stands still.
-    pub fn freeze(&self, name: &str, until: Instant) {
-        self.lock().frozen.insert(name.into(), until);
-    }
-
-    /// The caller's process is gone.
-    pub fn end(&self, name: &str) {
-        self.lock().gone.insert(name.into());
-    }
 }
 
 impl State {
@@ -257,42 +243,18 @@
 }
 
 impl FarmClient {
-    /// The answer, if it isn't lost.
-    fn carried_out<T>(
-        &self,
-        work: impl FnOnce(&mut State) -> Result<T, StarterError>,
-    ) -> Option<Result<T, StarterError>> {
-        let mut state = self.farm.lock();
-        let answer = work(&mut state);
-        let mute = state.mute.entry(self.name.clone()).or_default();
-        let lost = *mute > 0;
-        *mute = mute.saturating_sub(1);
-        (!lost).then_some(answer)
-    }
-
     async fn call<T>(
         &self,
         work: impl FnOnce(&mut State) -> Result<T, StarterError>,
     ) -> Result<T, StarterError> {
-        sleep(LATENCY / 2).await;
-        let frozen = self.farm.lock().frozen.get(&self.name).copied();
-        if let Some(until) = frozen {
-            sleep_until(until).await;
-        }
-        if self.farm.lock().gone.contains(&self.name) {
-            return std::future::pending().await;
-        }
-        let answer = self.carried_out(work);
-        match answer {
-            Some(answer) => {
-                sleep(LATENCY / 2).await;
-                answer
-            }
-            None => {
-                sleep(PATIENCE).await;
-                Err(StarterError::Unavailable("no answer".into()))
-            }
+        self.farm.callers.arrive(&self.name, LATENCY / 2).await;
+        let answer = work(&mut self.farm.lock());
+        if self.farm.callers.loses_answer(&self.name) {
+            sleep(PATIENCE).await;
+            return Err(StarterError::Unavailable("no answer".into()));
         }
+        sleep(LATENCY / 2).await;
+        answer
     }
 }
 
--- a/crates/stonewheel-activation/tests/common/mod.rs
+++ b/crates/stonewheel-activation/tests/common/mod.rs
@@ -17,9 +17,7 @@
     ActivationSettings, Activator, Listen, ModelSettings, Refusal, parse_sections,
     record::{ActivationRecord, record_key},
 };
-use stonewheel_coordination::{Coordinator, Owner, Store, Timing};
-use stonewheel_standins::MemState;
-use stonewheel_state::{Budget, Writer, WriterLimits};
+use stonewheel_standins::{MemState, coordinated, timing};
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -134,25 +132,9 @@
             *seeds
         };
         let client = format!("m-{at}#{seed}");
-        let api = self.state.client(&client);
-        let limits = WriterLimits {
-            own_writes_per_s: 60.0,
-            all_writes_per_s: 60.0,
-            transaction_writes: 24,
-            transaction_conditions: 96,
-            timeout: Duration::from_secs(1),
-        };
-        let requests = Arc::new(Budget::new(50.0));
-        let writer = Arc::new(Writer::new(api.clone(), limits, requests.clone()));
         let stop = CancellationToken::new();
-        tokio::spawn(writer.clone().run(stop.clone()));
-        let coordinator = Coordinator::new(
-            Owner { member: format!("m-{at}"), incarnation: seed },
-            (0..self.size).map(|at| format!("m-{at}")).collect(),
-            Timing { session: SESSION, state_timeout: Duration::from_secs(1) },
-            Store::new(api, requests, writer),
-        );
-        tokio::spawn(coordinator.clone().run(stop.clone()));
+        let place = (at, self.size);
+        let coordinator = coordinated(&self.state, &client, place, seed, timing(SESSION), &stop);
         let starter = self.farm.client(&client);
         let activator = Activator::new(coordinator, self.settings.clone(), starter, seed);
         tokio::spawn(activator.clone().run(stop.clone()));
@@ -165,7 +147,7 @@
     pub fn kill(&self, at: usize) {
         let running = self.running.lock().expect("not poisoned").remove(&at).expect("it runs");
         self.state.refuse(&running.client, true);
-        self.farm.end(&running.client);
+        self.farm.callers.end(&running.client);
         running.stop.cancel();
     }
 
@@ -184,7 +166,7 @@
         let client = self.client_of(at);
         let until = Instant::now() + Duration::from_secs(seconds);
         self.state.freeze(&client, until);
-        self.farm.freeze(&client, until);
+        self.farm.callers.freeze(&client, until);
     }
 
     /// The state service refuses this controller alone.
@@ -199,7 +181,7 @@
 
     /// The same of its orders to start and stop replicas.
     pub fn mute_farm(&self, at: usize, count: u32) {
-        self.farm.mute(&self.client_of(at), count);
+        self.farm.callers.mute(&self.client_of(at), count);
     }
 
     pub fn activator(&self, at: usize) -> Arc<Activator> {
--- a/crates/stonewheel-rollout/tests/common/deployment.rs
+++ b/crates/stonewheel-rollout/tests/common/deployment.rs
@@ -10,14 +10,12 @@
     time::Duration,
 };
 
-use stonewheel_coordination::{Coordinator, Owner, Store, Timing};
 use stonewheel_rollout::{
     CommandFailure, Executor, RolloutSettings,
     command::{Command, CommandKind},
     record::{Phase, ReplicaStage, ServiceRecord, service_key},
 };
-use stonewheel_standins::MemState;
-use stonewheel_state::{Budget, Writer, WriterLimits};
+use stonewheel_standins::{MemState, coordinated, timing};
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
@@ -85,25 +83,8 @@
     pub fn start(&self, at: usize) {
         let seed = u64::from(self.seeds.fetch_add(1, Ordering::Relaxed) + 1);
         let client = format!("m-{at}#{seed}");
-        let api = self.state.client(&client);
-        let limits = WriterLimits {
-            own_writes_per_s: 60.0,
-            all_writes_per_s: 60.0,
-            transaction_writes: 24,
-            transaction_conditions: 96,
-            timeout: Duration::from_secs(1),
-        };
-        let requests = Arc::new(Budget::new(50.0));
-        let writer = Arc::new(Writer::new(api.clone(), limits, requests.clone()));
         let stop = CancellationToken::new();
-        tokio::spawn(writer.clone().run(stop.clone()));
-        let coordinator = Coordinator::new(
-            Owner { member: format!("m-{at}"), incarnation: seed },
-            (0..3).map(|at| format!("m-{at}")).collect(),
-            Timing { session: SESSION, state_timeout: Duration::from_secs(1) },
-            Store::new(api, requests, writer),
-        );
-        tokio::spawn(coordinator.clone().run(stop.clone()));
+        let coordinator = coordinated(&self.state, &client, (at, 3), seed, timing(SESSION), &stop);
         let host = self.servers.client(&client);
         let services = [SERVICE.to_owned()];
         let executor = Executor::new(coordinator, rollout_settings(), &services, host, 8192, seed);
@@ -124,7 +105,7 @@
     pub fn kill(&self, at: usize) {
         let running = self.running.lock().expect("not poisoned").remove(&at).expect("it runs");
         self.state.refuse(&running.client, true);
-        self.servers.end(&running.client);
+        self.servers.callers.end(&running.client);
         running.stop.cancel();
     }
 
@@ -133,7 +114,7 @@
         let client = self.client_of(at);
         let until = Instant::now() + Duration::from_secs(seconds);
         self.state.freeze(&client, until);
-        self.servers.freeze(&client, until);
+        self.servers.callers.freeze(&client, until);
     }
 
     pub fn refuse(&self, at: usize, on: bool) {
@@ -145,7 +126,7 @@
     }
 
     pub fn mute_host(&self, at: usize, count: u32) {
-        self.servers.mute(&self.client_of(at), count);
+        self.servers.callers.mute(&self.client_of(at), count);
     }
 
     /// The record, straight from the state service.
--- a/crates/stonewheel-rollout/tests/common/servers.rs
+++ b/crates/stonewheel-rollout/tests/common/servers.rs
@@ -9,7 +9,8 @@
 
 use futures_util::future::BoxFuture;
 use stonewheel_rollout::{HostError, Look, ReplicaHost, ReplicaOrder};
-use tokio::time::{Instant, sleep, sleep_until};
+use stonewheel_standins::Callers;
+use tokio::time::{Instant, sleep};
 
 const LATENCY: Duration = Duration::from_millis(10);
 const PATIENCE: Duration = Duration::from_secs(1);
@@ -41,9 +42,6 @@
     starts: u32,
     stops: HashMap<String, u32>,
     refused: u32,
-    mute: HashMap<String, u32>,
-    frozen: HashMap<String, Instant>,
-    gone: BTreeSet<String>,
     began: Option<Instant>,
 }
 
@@ -81,20 +79,24 @@
 
 /// The stand-in.
 #[derive(Clone)]
-pub struct Servers(Arc<Mutex<State>>);
+pub struct Servers {
+    state: Arc<Mutex<State>>,
+    pub callers: Callers,
+}
 
 impl Servers {
     pub fn new(machines: usize, capacity: usize) -> Self {
-        Self(Arc::new(Mutex::new(State {
+        let state = Arc::new(Mutex::new(State {
             machines: vec![true; machines],
             capacity,
             began: Some(Instant::now()),
             ..State::default()
-        })))
+        }));
+        Self { state, callers: Callers::default() }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.0.lock().expect("not poisoned")
+        self.state.lock().expect("not poisoned")
     }
 
     pub fn client(&self, name: &str) -> Arc<dyn ReplicaHost> {
@@ -157,18 +159,6 @@
     pub fn let_flap(&self, version: &str) {
         self.lock().flapping.insert(version.into());
     }
-
-    pub fn mute(&self, name: &str, count: u32) {
-        self.lock().mute.insert(name.into(), count);
-    }
-
-    pub fn freeze(&self, name: &str, until: Instant) {
-        self.lock().frozen.insert(name.into(), until);
-    }
-
-    pub fn end(&self, name: &str) {
-        self.lock().gone.insert(name.into());
-    }
 }
 
 impl State {
@@ -231,34 +221,16 @@
 }
 
 impl Client {
-    fn carried_out<T>(
-        &self,
-        work: impl FnOnce(&mut State) -> Result<T, HostError>,
-    ) -> Option<Result<T, HostError>> {
-        let mut state = self.servers.lock();
-        let answer = work(&mut state);
-        let mute = state.mute.entry(self.name.clone()).or_default();
-        let lost = *mute > 0;
-        *mute = mute.saturating_sub(1);
-        (!lost).then_some(answer)
-    }
-
     async fn call<T>(
         &self,
         work: impl FnOnce(&mut State) -> Result<T, HostError>,
     ) -> Result<T, HostError> {
-        sleep(LATENCY).await;
-        let frozen = self.servers.lock().frozen.get(&self.name).copied();
-        if let Some(until) = frozen {
-            sleep_until(until).await;
-        }
-        if self.servers.lock().gone.contains(&self.name) {
-            return std::future::pending().await;
-        }
-        let Some(answer) = self.carried_out(work) else {
+        self.servers.callers.arrive(&self.name, LATENCY).await;
+        let answer = work(&mut self.servers.lock());
+        if self.servers.callers.loses_answer(&self.name) {
             sleep(PATIENCE).await;
             return Err(HostError::Unavailable("no answer".into()));
-        };
+        }
         answer
     }
 }
--- a/crates/stonewheel-standins/src/lib.rs
+++ b/crates/stonewheel-standins/src/lib.rs
@@ -1,8 +1,12 @@
 //! Stand-ins for what surrounds the controllers, for tests only: in memory, under
 //! paused time, with faults that a test brings about or draws from a seed.
 
+mod callers;
+mod coordination;
 mod faults;
 mod state;
 
+pub use callers::Callers;
+pub use coordination::{coordinated, timing};
 pub use faults::{Delays, LateCommands, LateTransactions};
 pub use state::{MemState, StateUsage};
