Half cuts: a leader without workers is replaced at once, workers are not sent back to it

Their reports hung for 4 s; the follower that they came to next sent them back to the leader, where they hung again, and the leader learned that workers live only with the next heartbeat and asked itself only with the next renewal: 8 s of a lease of 11 s. Whole fleets lost their leases.

Change: a leader that hears hardly any worker says so in a section of its own; a worker that knows this leader and comes elsewhere is then not sent back. The first report turned away hastens heartbeats, and a heartbeat that says workers live is looked at at once.

--- a/crates/stonewheel-protocol/src/controllers.rs
+++ b/crates/stonewheel-protocol/src/controllers.rs
@@ -35,6 +35,13 @@
     pub small_pages: bool,
 }
 
+/// What a leader says of its workers, in a section of its own (`peers.rs`).
+#[derive(Clone, Copy, Debug, Default, PartialEq, bitcode::Encode, bitcode::Decode)]
+pub struct WorkerContact {
+    /// The sender leads and has lately heard hardly any of its workers.
+    pub lost: bool,
+}
+
 /// All cancellations in the sender's picture beyond a revision.
 #[derive(Clone, Debug, PartialEq, bitcode::Encode, bitcode::Decode)]
 pub struct CancellationNotice {
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -6,12 +6,37 @@
 use super::Node;
 use crate::{
     peers::{Message, noticed_cancellations_of},
-    protocol::{CancellationNotice, Heartbeat, JobState, Write},
+    protocol::{CancellationNotice, Heartbeat, JobState, WorkerContact, Write},
     state::lock,
     store::{self, End},
 };
 
 impl Node {
+    /// All that this node tells another controller now.
+    pub fn message(&self, to: &str) -> Message {
+        let lost = self.hears_hardly_any_worker();
+        let message = Message::new(self.heartbeat(to), self.settings.frame_limit());
+        Message { worker_contact: WorkerContact { lost }, ..message }
+    }
+
+    /// Whether this node leads and its workers seem lost to it.
+    fn hears_hardly_any_worker(&self) -> bool {
+        let term = lock(&self.term);
+        let leader = term.as_ref().and_then(|term| term.leader.as_ref());
+        leader.is_some_and(|leader| leader.deserted(Instant::now()))
+    }
+
+    /// Notes that a report was turned away or answered in a leader's stead. A
+    /// leader that lost its workers waits for just this to give way, and their
+    /// leases run meanwhile: the first one is told at once.
+    pub(super) fn note_turned_away_report(&self) {
+        let told_already = self.turned_reports_away();
+        *lock(&self.reports_turned_away) = Some(Instant::now());
+        if !told_already {
+            self.peers.hasten_heartbeats();
+        }
+    }
+
     pub fn heartbeat(&self, to: &str) -> Heartbeat {
         let (mark, echo) = lock(&self.peers.promises).beat(to, Instant::now());
         let (leads, state_ok) = (lock(&self.term).is_some(), self.state_ok());
@@ -70,6 +95,7 @@
         let member = &message.heartbeat.member;
         self.peers.note_features(member, message.features);
         self.peers.note_frame_limit(member, message.frame_limit);
+        self.peers.note_worker_contact(member, message.worker_contact);
         self.on_heartbeat(message.heartbeat);
     }
 
@@ -80,10 +106,16 @@
             *term = None;
             self.lead_changed.notify_one();
         }
+        let leads = term.is_some();
         drop(term);
+        let workers_live = heartbeat.turned_reports_away;
         self.take_cancellation_notice(heartbeat.cancellations.as_ref());
         let revision = lock(&self.picture).revision;
         self.peers.note(heartbeat, revision);
+        // Whether to give way is asked now, not with the next renewal.
+        if leads && workers_live {
+            self.lead_changed.notify_one();
+        }
     }
 
     /// Takes in what another controller may have told users: those ends are
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -18,17 +18,29 @@
         match reply {
             Some(reply) => reply,
             None => {
-                *lock(&self.reports_turned_away) = Some(Instant::now());
+                self.note_turned_away_report();
                 if let Some(reply) = self.renew_as_follower(report, Instant::now()) {
                     return reply;
                 }
-                let picture = lock(&self.picture);
-                let lead = picture.lead.as_ref().map(|(_, lead)| lead.member.clone());
-                ReportReply::Elsewhere(lead.filter(|m| *m != self.settings.member))
+                ReportReply::Elsewhere(self.leader_for(report))
             }
         }
     }
 
+    /// The leader to which a worker is sent, if that is of use to it.
+    fn leader_for(&self, report: &Report) -> Option<String> {
+        let picture = lock(&self.picture);
+        let (_, lead) = picture.lead.as_ref()?;
+        // A worker that has heard this leader and comes here could not reach it.
+        // Sent back to one that says itself that it hears hardly any worker, it
+        // would wait for a whole time-out there while its lease runs out. It
+        // goes on to the next controller, and finds the successor.
+        let knows_leader = report.token >= lead.token;
+        let lately = self.settings.leader_lease();
+        let unreachable = knows_leader && self.peers.lost_workers(&lead.member, lately);
+        (!unreachable && lead.member != self.settings.member).then(|| lead.member.clone())
+    }
+
     fn report_as_leader(&self, report: &Report) -> Option<ReportReply> {
         let now = Instant::now();
         let mut term = lock(&self.term);
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -19,7 +19,7 @@
 use stonewheel_http_server::accept_each;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::Semaphore,
+    sync::{Semaphore, watch},
     time::{Duration, Instant, timeout},
 };
 use tokio_util::{
@@ -31,7 +31,7 @@
 use crate::{
     lease_renewal::{KnownCancellations, Promises},
     node::Node,
-    protocol::{Features, Heartbeat},
+    protocol::{Features, Heartbeat, WorkerContact},
     settings::Member,
     state::lock,
 };
@@ -74,9 +74,10 @@
 const CANCELLATIONS: u8 = 2;
 const FEATURES: u8 = 3;
 const FRAME_LIMIT: u8 = 4;
+const WORKER_CONTACT: u8 = 5;
 
 /// What this version can do.
-const OWN_FEATURES: Features = Features { small_pages: true };
+pub const OWN_FEATURES: Features = Features { small_pages: true };
 
 /// What one frame says.
 #[derive(Clone, Debug, PartialEq)]
@@ -86,18 +87,33 @@
     pub features: Features,
     /// The longest frame that the sender hears.
     pub frame_limit: usize,
+    /// Whether the sender, as a leader, hears its workers.
+    pub worker_contact: WorkerContact,
+}
+
+impl Message {
+    /// What this version says with a heartbeat. `frame_limit`: the longest frame
+    /// that the sender hears.
+    pub fn new(heartbeat: Heartbeat, frame_limit: usize) -> Self {
+        let worker_contact = WorkerContact::default();
+        Self { heartbeat, features: OWN_FEATURES, frame_limit, worker_contact }
+    }
 }
 
 /// A frame is a list of sections, each with its kind. This outer form is for
-/// ever. `frame_limit`: the longest frame that the sender hears.
-pub fn encode(mut heartbeat: Heartbeat, frame_limit: usize) -> Vec<u8> {
+/// ever.
+pub fn encode(message: Message) -> Vec<u8> {
+    let Message { mut heartbeat, features, frame_limit, worker_contact } = message;
     let told = heartbeat.cancellations.take();
     let mut sections = vec![(HEARTBEAT, bitcode::encode(&heartbeat))];
     sections.extend(told.map(|told| (CANCELLATIONS, bitcode::encode(&told))));
-    sections.push((FEATURES, bitcode::encode(&OWN_FEATURES)));
+    sections.push((FEATURES, bitcode::encode(&features)));
     if frame_limit > LEAST_FRAME_LIMIT {
         sections.push((FRAME_LIMIT, bitcode::encode(&(frame_limit as u64))));
     }
+    if worker_contact.lost {
+        sections.push((WORKER_CONTACT, bitcode::encode(&worker_contact)));
+    }
     bitcode::encode(&sections)
 }
 
@@ -111,10 +127,12 @@
     let features = section(FEATURES).and_then(|body| bitcode::decode(body).ok());
     let limit: Option<u64> = section(FRAME_LIMIT).and_then(|body| bitcode::decode(body).ok());
     let frame_limit = limit.and_then(|bytes| usize::try_from(bytes).ok()).unwrap_or(0);
+    let worker_contact = section(WORKER_CONTACT).and_then(|body| bitcode::decode(body).ok());
     Some(Message {
         heartbeat,
         features: features.unwrap_or_default(),
         frame_limit: frame_limit.max(LEAST_FRAME_LIMIT),
+        worker_contact: worker_contact.unwrap_or_default(),
     })
 }
 
@@ -131,6 +149,11 @@
     know_small_pages: Mutex<HashSet<String>>,
     /// The longest frame that each member hears, by its latest word.
     frame_limits: Mutex<HashMap<String, usize>>,
+    /// When each member last said that it leads and hears hardly any worker; a
+    /// later word to the contrary removes it.
+    lost_workers: Mutex<HashMap<String, Instant>>,
+    /// Raised when the others should hear from this controller at once.
+    urgent: watch::Sender<()>,
     /// An unreadable heartbeat was logged: whoever sends them sends many.
     unreadable_logged: AtomicBool,
 }
@@ -146,6 +169,8 @@
             known_cancellations: Mutex::default(),
             know_small_pages: Mutex::default(),
             frame_limits: Mutex::default(),
+            lost_workers: Mutex::default(),
+            urgent: watch::Sender::new(()),
             unreadable_logged: AtomicBool::new(false),
         }
     }
@@ -187,6 +212,32 @@
         }
     }
 
+    /// Notes whether a member, as a leader, hears its workers.
+    pub fn note_worker_contact(&self, member: &str, contact: WorkerContact) {
+        let mut lost = lock(&self.lost_workers);
+        if contact.lost {
+            lost.insert(member.to_owned(), Instant::now());
+        } else {
+            lost.remove(member);
+        }
+    }
+
+    /// Whether a member said within this time that it leads and hears hardly
+    /// any worker.
+    pub fn lost_workers(&self, member: &str, within: Duration) -> bool {
+        lock(&self.lost_workers).get(member).is_some_and(|at| at.elapsed() < within)
+    }
+
+    /// Has the next heartbeat to every member leave now.
+    pub fn hasten_heartbeats(&self) {
+        self.urgent.send_replace(());
+    }
+
+    /// Changes whenever heartbeats should leave now.
+    pub fn urgent_heartbeats(&self) -> watch::Receiver<()> {
+        self.urgent.subscribe()
+    }
+
     /// The longest frame that a member surely hears.
     pub fn frame_limit(&self, member: &str) -> usize {
         lock(&self.frame_limits).get(member).copied().unwrap_or(LEAST_FRAME_LIMIT)
@@ -238,18 +289,17 @@
 /// Sends heartbeats to one other controller for as long as this one runs.
 pub async fn beat(node: Arc<Node>, member: Member, stop: CancellationToken) {
     let every = node.settings.leader_lease() / 4;
+    let mut urgent = node.peers.urgent_heartbeats();
     tokio::select! {
         () = async {
             loop {
                 if let Ok(Ok(stream)) = timeout(every, TcpStream::connect(member.endpoint)).await {
                     // What the receiver hears bounds a frame, not this side.
                     let mut frames = FramedWrite::new(stream, codec(u32::MAX as usize));
-                    let own_limit = node.settings.frame_limit();
                     loop {
-                        let heartbeat = node.heartbeat(&member.member);
-                        let frame = Bytes::from(encode(heartbeat, own_limit));
+                        let frame = Bytes::from(encode(node.message(&member.member)));
                         match timeout(every, frames.send(frame)).await {
-                            Ok(Ok(())) => tokio::time::sleep(every).await,
+                            Ok(Ok(())) => drop(timeout(every, urgent.changed()).await),
                             _ => break,
                         }
                     }
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -25,27 +25,21 @@
 
 #[test]
 fn a_frame_is_read_as_it_was_written() {
-    let read = decode(&encode(heartbeat(), LEAST_FRAME_LIMIT)).expect("a message");
-    assert_eq!(
-        read,
-        Message { heartbeat: heartbeat(), features: OWN_FEATURES, frame_limit: LEAST_FRAME_LIMIT }
-    );
+    let read = decode(&encode(Message::new(heartbeat(), LEAST_FRAME_LIMIT))).expect("a message");
+    assert_eq!(read, Message::new(heartbeat(), LEAST_FRAME_LIMIT));
 }
 
 #[test]
 fn sections_of_a_newer_version_are_passed_over() {
-    let mut frame = sections(&encode(heartbeat(), LEAST_FRAME_LIMIT));
+    let mut frame = sections(&encode(Message::new(heartbeat(), LEAST_FRAME_LIMIT)));
     frame.insert(0, (9, vec![1, 2, 3]));
     let read = decode(&bitcode::encode(&frame)).expect("a message");
-    assert_eq!(
-        read,
-        Message { heartbeat: heartbeat(), features: OWN_FEATURES, frame_limit: LEAST_FRAME_LIMIT }
-    );
+    assert_eq!(read, Message::new(heartbeat(), LEAST_FRAME_LIMIT));
 }
 
 #[test]
 fn what_cannot_be_read_counts_as_unsaid() {
-    let mut frame = sections(&encode(heartbeat(), LEAST_FRAME_LIMIT));
+    let mut frame = sections(&encode(Message::new(heartbeat(), LEAST_FRAME_LIMIT)));
     frame[1].1 = vec![255; 3];
     let read = decode(&bitcode::encode(&frame)).expect("its heartbeat").heartbeat;
     assert_eq!(read, Heartbeat { cancellations: None, ..heartbeat() });
@@ -63,7 +57,7 @@
         let told = CancellationNotice { since: u64::MAX, all: false, jobs };
         let limit = frame_limit_for(noticed);
         let heartbeat = Heartbeat { cancellations: Some(told), ..heartbeat() };
-        let frame = encode(heartbeat, limit);
+        let frame = encode(Message::new(heartbeat, limit));
         assert!(frame.len() < limit, "{} of {limit}", frame.len());
         assert!(noticed_cancellations_of(limit) >= noticed);
     }
@@ -74,12 +68,12 @@
     let peers = Peers::new(Vec::new(), Duration::from_secs(3), 1);
     assert_eq!(peers.frame_limit("m-1"), LEAST_FRAME_LIMIT, "it has not said anything");
     let limit = frame_limit_for(4_400);
-    let read = decode(&encode(heartbeat(), limit)).expect("a message");
+    let read = decode(&encode(Message::new(heartbeat(), limit))).expect("a message");
     assert_eq!(read.frame_limit, limit);
     peers.note_frame_limit("m-1", read.frame_limit);
     assert_eq!(peers.frame_limit("m-1"), limit);
     // It came back with other settings, or as an older version.
-    let read = decode(&encode(heartbeat(), LEAST_FRAME_LIMIT)).expect("a message");
+    let read = decode(&encode(Message::new(heartbeat(), LEAST_FRAME_LIMIT))).expect("a message");
     peers.note_frame_limit("m-1", read.frame_limit);
     assert_eq!(peers.frame_limit("m-1"), LEAST_FRAME_LIMIT);
     assert!(noticed_cancellations_of(LEAST_FRAME_LIMIT) >= LEAST_NOTICED_CANCELLATIONS);
@@ -96,17 +90,13 @@
     let read = decode(&FRAME_OF_THE_VERSION_BEFORE).expect("a message");
     assert_eq!(
         read,
-        Message {
-            heartbeat: heartbeat(),
-            features: Features::default(),
-            frame_limit: LEAST_FRAME_LIMIT,
-        }
+        Message { features: Features::default(), ..Message::new(heartbeat(), LEAST_FRAME_LIMIT) }
     );
 }
 
 #[test]
 fn the_version_before_finds_its_own_sections_unchanged() {
-    let mut frame = sections(&encode(heartbeat(), LEAST_FRAME_LIMIT));
+    let mut frame = sections(&encode(Message::new(heartbeat(), LEAST_FRAME_LIMIT)));
     frame.retain(|(kind, _)| *kind != FEATURES);
     assert_eq!(bitcode::encode(&frame), FRAME_OF_THE_VERSION_BEFORE);
 }
@@ -125,3 +115,29 @@
     peers.note_features("m-2", OWN_FEATURES);
     assert!(peers.all_know_small_pages(&members));
 }
+
+#[test]
+fn a_leader_that_lost_its_workers_says_so_until_it_hears_them_again() {
+    let peers = Peers::new(Vec::new(), Duration::from_secs(3), 1);
+    let lately = Duration::from_secs(3);
+    for lost in [true, false] {
+        let said = Message {
+            worker_contact: WorkerContact { lost },
+            ..Message::new(heartbeat(), LEAST_FRAME_LIMIT)
+        };
+        let read = decode(&encode(said.clone())).expect("a message");
+        assert_eq!(read, said);
+        peers.note_worker_contact("m-1", read.worker_contact);
+        assert_eq!(peers.lost_workers("m-1", lately), lost);
+    }
+}
+
+#[test]
+fn what_a_leader_says_of_its_workers_leaves_the_other_sections_as_they_are() {
+    let said = Message::new(heartbeat(), LEAST_FRAME_LIMIT);
+    let plain = sections(&encode(said.clone()));
+    let lost = Message { worker_contact: WorkerContact { lost: true }, ..said };
+    let mut with_it = sections(&encode(lost));
+    assert_eq!(with_it.pop().map(|(kind, _)| kind), Some(WORKER_CONTACT));
+    assert_eq!(with_it, plain);
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -131,6 +131,19 @@
     mutex.lock().expect("not poisoned")
 }
 
+/// Waits until heartbeats are due, or a node wants them to leave at once.
+async fn wait_for_heartbeats(nodes: &[Option<(Arc<Node>, CancellationToken)>], most: Duration) {
+    let urgent = nodes.iter().flatten().map(|(node, _)| {
+        let mut urgent = node.peers.urgent_heartbeats();
+        Box::pin(async move { urgent.changed().await })
+    });
+    let urgent: Vec<_> = urgent.collect();
+    if urgent.is_empty() {
+        return sleep(most).await;
+    }
+    let _ = tokio::time::timeout(most, futures_util::future::select_all(urgent)).await;
+}
+
 /// Lets time pass.
 pub async fn seconds(n: u64) {
     sleep(Duration::from_secs(n)).await;
@@ -202,6 +215,9 @@
     broken: Vec<String>,
     /// Nodes that speak as the version before does.
     of_the_version_before: BTreeSet<usize>,
+    /// Reports to a node that a worker is cut from hang until it gives up, rather
+    /// than fail at once.
+    cuts_hang: bool,
     /// Nodes cut off from the other controllers.
     severed: BTreeSet<usize>,
     starts: u32,
@@ -522,11 +538,11 @@
     /// The links between the controllers.
     async fn links(self) {
         loop {
-            sleep(Duration::from_millis(900)).await;
             let (nodes, severed) = {
                 let site = lock(&self.site);
                 (site.nodes.clone(), site.severed.clone())
             };
+            wait_for_heartbeats(&nodes, Duration::from_millis(900)).await;
             for (from, sender) in nodes.iter().enumerate() {
                 for (to, receiver) in nodes.iter().enumerate() {
                     let cut = severed.contains(&from) || severed.contains(&to);
@@ -535,8 +551,7 @@
                         && !cut
                     {
                         // As over the wire.
-                        let heartbeat = sender.heartbeat(&format!("m-{to}"));
-                        let frame = peers::encode(heartbeat, sender.settings.frame_limit());
+                        let frame = peers::encode(sender.message(&format!("m-{to}")));
                         let mut message = peers::decode(&frame).expect("a heartbeat");
                         if self.is_of_the_version_before(from) {
                             message.features = Features::default();
@@ -643,6 +658,11 @@
         worker.cut_from = nodes.iter().copied().collect();
     }
 
+    /// From now on reports to a node that a worker is cut from hang.
+    pub fn let_cuts_hang(&self) {
+        lock(&self.site).cuts_hang = true;
+    }
+
     pub fn cut_if_there(&self, machine: &str, nodes: &[usize]) {
         if let Some(worker) = lock(&self.site).workers.get_mut(machine) {
             worker.cut_from = nodes.iter().copied().collect();
@@ -808,6 +828,9 @@
             let Some(report) = report else { continue };
             let node = lock(&self.site).nodes[at].as_ref().map(|(n, _)| n.clone());
             let lost = mute || cut.contains(&at);
+            if cut.contains(&at) && lock(&self.site).cuts_hang {
+                sleep(REPORT_PATIENCE).await;
+            }
             let mut reply = None;
             if let Some(node) = node.filter(|_| !lost) {
                 if let Some(until) = self.frozen_until(at) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -15,9 +15,9 @@
 use serde_json::json;
 use stonewheel::{
     http::server::routes,
-    node::{Node, Trouble, UserReply},
+    node::{Node, ReportReply, Trouble, UserReply},
     peers,
-    protocol::{Condition, JobState, Write},
+    protocol::{Condition, JobState, Report, Write},
     store,
 };
 use tokio::{
@@ -284,6 +284,40 @@
     loses_workers_but_no_task(&world, leader, &machines).await;
 }
 
+/// Reports hang instead of being refused, so a worker comes to another controller
+/// only after its time-out. Sent back to the leader it would wait for that once
+/// more, and half of a lease would be left (`docs/incidents/inc-e8a5.md`).
+#[tokio::test(start_paused = true)]
+async fn workers_whose_reports_to_the_leader_hang_find_its_successor_within_their_leases() {
+    let (world, leader, machines) = full_house("j-000017").await;
+    world.let_cuts_hang();
+    let began = Instant::now();
+    loses_workers_but_no_task(&world, leader, &machines).await;
+    for machine in &machines {
+        assert_eq!(world.session(machine), 1, "{machine} lost its lease");
+    }
+    assert!(began.elapsed() < Duration::from_secs(23));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_worker_that_has_not_heard_the_leader_is_sent_to_it_although_it_hears_few() {
+    let (world, leader, machines) = full_house("j-000018").await;
+    world.let_cuts_hang();
+    for machine in &machines {
+        world.cut(machine, &[leader]);
+    }
+    seconds(4).await;
+    let follower = (leader + 1) % 3;
+    let known = world.last_report(&machines[0]);
+    let leader_name = format!("m-{leader}");
+    let sent_to = |token| match world.node(follower).report(&Report { token, ..known.clone() }) {
+        ReportReply::Elsewhere(to) => to,
+        other => panic!("a follower answered {other:?}"),
+    };
+    assert_eq!(sent_to(0), Some(leader_name), "it may reach whom others can't");
+    assert_eq!(sent_to(known.token), None, "it could not reach the leader");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_leader_that_lost_workers_and_peers_learns_of_it_from_the_store() {
     let (world, leader, machines) = full_house("j-000015").await;
@@ -554,7 +588,7 @@
     }
     let mut heartbeat = world.node(1).heartbeat("m-0");
     heartbeat.member = "m-9".into();
-    let frame = peers::encode(heartbeat, peers::LEAST_FRAME_LIMIT);
+    let frame = peers::encode(peers::Message::new(heartbeat, peers::LEAST_FRAME_LIMIT));
     let mut link = TcpStream::connect(address).await.expect("the system takes it");
     link.write_all(&(frame.len() as u32).to_be_bytes()).await.expect("sent");
     link.write_all(&frame).await.expect("sent");
