--- a/src/controller/autoscaler.rs
+++ b/src/controller/autoscaler.rs
@@ -6,16 +6,16 @@
 use super::Leader;
 use crate::{
     cloud::{DELETE_LIMIT, RENT_LIMIT},
-    fleet::Machine,
+    fleet::{LeaseProof, Machine},
     protocol::{ListedMachine, MachineId, MachineType, Rental},
     scheduler::Resources,
 };
 
 impl Leader {
-    pub(super) fn return_machines(&mut self, now: Instant, provable: bool) {
+    pub(super) fn return_machines(&mut self, now: Instant, proof: LeaseProof) {
         let types = self.types.clone();
         let boot = |kind: &str| types.iter().find(|t| &*t.name == kind).map_or(60.0, |t| t.boot_s);
-        for (id, reason) in self.fleet.to_delete(&self.settings, boot, provable, now) {
+        for (id, reason) in self.fleet.to_delete(&self.settings, boot, proof, now) {
             self.delete(&id, reason, now);
         }
         self.note_spot_load(now);
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -36,7 +36,7 @@
 
 use crate::{
     fencing::TermTokens,
-    fleet::{Fleet, Machine, TaskKey},
+    fleet::{Fleet, LeaseProof, Machine, TaskKey},
     protocol::{JobId, JobSpec, MachineId, MachineType, Rental, Shape},
     scheduler::TeamUse,
     settings::Settings,
@@ -215,7 +215,7 @@
                 });
                 known.bound.insert((id.clone(), task));
                 // What a former leader fetched there is known by what runs.
-                known.note_image(&job.spec.image, job.spec.image_gb, f64::INFINITY, &[]);
+                known.images.note(&job.spec.image, job.spec.image_gb, f64::INFINITY, |_| true);
                 let binding = Binding {
                     machine,
                     attempt,
@@ -345,7 +345,7 @@
         if care {
             let provable =
                 alone.is_some_and(|since| now > since + lease) || now < unpaused + lease * 2;
-            self.return_machines(now, provable);
+            self.return_machines(now, LeaseProof { provable, alone });
             for job in self.jobs.values_mut().filter(|j| j.held_until.is_some_and(|t| t <= now)) {
                 job.held_until = None;
                 self.changed = true;
--- a/src/controller/planner.rs
+++ b/src/controller/planner.rs
@@ -135,7 +135,7 @@
                 ready,
                 empty: machine.bound.is_empty(),
                 awaited: false,
-                images: machine.images.iter().map(|(image, _)| image.clone()).collect(),
+                images: machine.images.names().cloned().collect(),
             });
         }
         views
@@ -148,9 +148,7 @@
         names: LongestNames,
         now: Instant,
     ) -> JobView {
-        // Enough for any width the fleet could hold.
-        let limit = index.len() * 64 + 512;
-        let pending = job.pending(limit);
+        let pending = job.pending(self.starts_in_a_pass(&job.spec));
         let wanted = pending.len();
         let pending = job.with_room(pending, self.settings.state_limits().value_bytes, names);
         // Half a gang is no use to anybody.
@@ -191,6 +189,20 @@
         }
     }
 
+    /// How many tasks of a job one pass may place. A start waits for its record,
+    /// and a pass may not outlast the leader's lease: an array of tens of thousands
+    /// of tasks placed at once cost one leader after the other its lease, and none
+    /// got as far as writing a place down. A gang starts as a whole.
+    fn starts_in_a_pass(&self, spec: &JobSpec) -> usize {
+        match spec.shape {
+            Shape::Gang => spec.tasks as usize,
+            Shape::Array | Shape::Service => {
+                let pages = self.settings.state_limits().transaction_writes;
+                pages * self.settings.small_page_tasks() as usize
+            }
+        }
+    }
+
     /// Machines that a job's tasks should not be placed on: they failed them, or
     /// may still start earlier attempts of them.
     fn avoided(&self, job: &Job) -> Vec<MachineId> {
@@ -261,9 +273,13 @@
             let spec = job.spec.clone();
             let kind = self.types.iter().find(|t| t.name == machine.machine_type);
             let cache_gb = kind.map_or(f64::INFINITY, |t| t.cache_gb);
-            let here = machine.bound.iter().filter_map(|(job, _)| self.jobs.get(job));
-            let used: Vec<Arc<str>> = here.map(|job| job.spec.image.clone()).collect();
-            machine.note_image(&spec.image, spec.image_gb, cache_gb, &used);
+            let jobs = &self.jobs;
+            let bound = &machine.bound;
+            let used = |image: &Arc<str>| {
+                let mut here = bound.iter().filter_map(|(job, _)| jobs.get(job));
+                here.any(|job| job.spec.image == *image)
+            };
+            machine.images.note(&spec.image, spec.image_gb, cache_gb, used);
             self.mark_page(&(id, task));
         }
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -85,6 +85,40 @@
     }
 }
 
+/// The images that a machine holds with their sizes in GB, the latest used last.
+#[derive(Debug, Default)]
+pub struct ImageCache(Vec<(Arc<str>, f64)>);
+
+impl ImageCache {
+    /// Notes that a task uses an image. What then no longer fits the cache is
+    /// gone, the longest unused first, but not what tasks here use.
+    pub fn note(
+        &mut self,
+        image: &Arc<str>,
+        gb: f64,
+        cache_gb: f64,
+        used: impl Fn(&Arc<str>) -> bool,
+    ) {
+        // Tasks of one array come to a machine by the hundred.
+        if self.0.last().is_some_and(|(latest, _)| latest == image) {
+            return;
+        }
+        self.0.retain(|(held, _)| held != image);
+        self.0.push((image.clone(), gb));
+        let mut over = self.0.iter().map(|(_, gb)| gb).sum::<f64>() - cache_gb;
+        self.0.retain(|(held, gb)| {
+            let goes = over > 0.0 && held != image && !used(held);
+            over -= if goes { *gb } else { 0.0 };
+            !goes
+        });
+    }
+
+    /// The names of the images, the latest used last.
+    pub fn names(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.0.iter().map(|(image, _)| image)
+    }
+}
+
 #[derive(Debug)]
 pub struct Machine {
     pub machine_type: Arc<str>,
@@ -116,9 +150,8 @@
     pub commands_in_flight: bool,
     /// What tasks on the machine use that the leader has not bound there.
     pub strangers: Resources,
-    /// Images fetched here with their sizes in GB, the latest used last, as
-    /// far as the leader placed their tasks.
-    pub images: Vec<(Arc<str>, f64)>,
+    /// Images fetched here, as far as the leader placed their tasks.
+    pub images: ImageCache,
     pub notice_until: Option<Instant>,
     pub deleting: bool,
     /// Not used before then: it failed tasks, or doesn't hear its orders.
@@ -151,7 +184,7 @@
             open_starts: OpenStarts::default(),
             commands_in_flight: false,
             strangers: Resources::default(),
-            images: Vec::new(),
+            images: ImageCache::default(),
             notice_until: None,
             deleting: false,
             shunned_until: None,
@@ -162,19 +195,6 @@
         }
     }
 
-    /// Notes that a task uses an image. What then no longer fits the cache is
-    /// gone, the longest unused first, but not what tasks here use.
-    pub fn note_image(&mut self, image: &Arc<str>, gb: f64, cache_gb: f64, used: &[Arc<str>]) {
-        self.images.retain(|(held, _)| held != image);
-        self.images.push((image.clone(), gb));
-        let mut over = self.images.iter().map(|(_, gb)| gb).sum::<f64>() - cache_gb;
-        self.images.retain(|(held, gb)| {
-            let goes = over > 0.0 && held != image && !used.contains(held);
-            over -= if goes { *gb } else { 0.0 };
-            !goes
-        });
-    }
-
     pub fn heard(&self) -> bool {
         self.answered.is_some()
     }
@@ -217,6 +237,22 @@
     }
 }
 
+/// Whether a silent worker's tasks can be shown to be gone by its lease.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseProof {
+    /// The proof can be had now, or no outage has yet made it doubtful.
+    pub provable: bool,
+    /// Since when surely no other controller has answered workers.
+    pub alone: Option<Instant>,
+}
+
+impl LeaseProof {
+    /// Whether it comes within a lease for workers that were never heard.
+    fn is_coming(&self, lease: Duration, now: Instant) -> bool {
+        self.alone.is_some_and(|since| now <= since + lease)
+    }
+}
+
 /// How new a report is.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Freshness {
@@ -353,10 +389,11 @@
         &mut self,
         settings: &Settings,
         boot_s: impl Fn(&str) -> f64,
-        provable: bool,
+        proof: LeaseProof,
         now: Instant,
     ) -> Vec<(MachineId, &'static str)> {
         let lease = settings.worker_lease();
+        let proof_is_coming = proof.is_coming(lease, now);
         let one_sided = self.mostly_silent(now, lease);
         // Workers find a new leader well within their lease. Those that did
         // not are probably dead, unless there are many of them.
@@ -387,12 +424,17 @@
                 }
                 "it never booted"
             } else if silence > lease * 3
-                || (!machine.bound.is_empty() && !machine.mine && silence > patience)
-                || (!machine.bound.is_empty() && !provable && silence > lease)
+                || (!machine.bound.is_empty()
+                    && !machine.mine
+                    && !proof_is_coming
+                    && silence > patience)
+                || (!machine.bound.is_empty() && !proof.provable && silence > lease)
             {
                 // Tasks may still be bound to it if its worker was never seen
                 // at this token, or if others may have answered it: only a
-                // deletion proves that they are gone.
+                // deletion proves that they are gone. If its lease will prove
+                // it a little later, that is waited for: a machine that was
+                // only cut off is back sooner than another boots.
                 if (one_sided || self.cuts.contains_key(&machine.zone)) && silence < lease * 6 {
                     continue;
                 }
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -2,14 +2,14 @@
 
 #[test]
 fn images_that_no_longer_fit_are_not_counted_on() {
-    let mut machine = Machine::new("g8".into(), "a".into(), false, Instant::now());
+    let mut images = ImageCache::default();
     let [a, b, c]: [Arc<str>; 3] = ["a".into(), "b".into(), "c".into()];
-    machine.note_image(&a, 40.0, 100.0, &[]);
-    machine.note_image(&b, 40.0, 100.0, &[]);
-    machine.note_image(&a, 40.0, 100.0, &[]);
-    machine.note_image(&c, 40.0, 100.0, &[]);
-    let held = |m: &Machine| m.images.iter().map(|(i, _)| i.clone()).collect::<Vec<_>>();
-    assert_eq!(held(&machine), [a.clone(), c.clone()], "the longest unused goes");
-    machine.note_image(&b, 40.0, 100.0, std::slice::from_ref(&a));
-    assert_eq!(held(&machine), [a, b], "an image in use stays");
+    images.note(&a, 40.0, 100.0, |_| false);
+    images.note(&b, 40.0, 100.0, |_| false);
+    images.note(&a, 40.0, 100.0, |_| false);
+    images.note(&c, 40.0, 100.0, |_| false);
+    let held = |images: &ImageCache| images.names().cloned().collect::<Vec<_>>();
+    assert_eq!(held(&images), [a.clone(), c.clone()], "the longest unused goes");
+    images.note(&b, 40.0, 100.0, |image| *image == a);
+    assert_eq!(held(&images), [a, b], "an image in use stays");
 }
--- a/src/scheduler/optimizer.rs
+++ b/src/scheduler/optimizer.rs
@@ -24,13 +24,21 @@
     }
 }
 
+/// What the program keeps of an admitted job.
 struct Row {
-    /// The job's width for each room up to `choice.len() - 1`; more room than
-    /// that changes nothing.
-    choice: Vec<u32>,
+    widths: Widths,
     cost: usize,
 }
 
+enum Widths {
+    /// The job has one width. A swarm of one-task jobs has a row each, and a
+    /// table for each of those would not fit a small machine.
+    Only(u32),
+    /// The job's width for each room up to the last one; more room than that
+    /// changes nothing.
+    ByRoom(Vec<u32>),
+}
+
 /// The table of all admitted jobs over `room` units.
 ///
 /// What the jobs so far could take at most bounds a row: beyond it every room
@@ -51,15 +59,17 @@
         let cost = curve.cost.max(1);
         let asked = (self.best.len() - 1).saturating_add(curve.max as usize * cost);
         let size = self.room.min(asked) + 1;
-        let (best, choice) = if curve.slope == 0.0 {
-            linear_row(&self.best, curve, cost, size)
+        let (best, widths) = if curve.min == curve.max {
+            (fixed_row(&self.best, curve, cost, size), Widths::Only(curve.min))
         } else {
-            plain_row(&self.best, curve, cost, size)
+            let row = if curve.slope == 0.0 { linear_row } else { plain_row };
+            let (best, widths) = row(&self.best, curve, cost, size);
+            (best, Widths::ByRoom(widths))
         };
         let feasible = best[size - 1] > 0.0;
         if feasible {
             self.best = best;
-            self.rows.push(Row { choice, cost });
+            self.rows.push(Row { widths, cost });
         }
         feasible
     }
@@ -76,8 +86,13 @@
             .iter()
             .rev()
             .map(|row| {
-                room = room.min(row.choice.len() - 1);
-                let width = row.choice[room];
+                let width = match &row.widths {
+                    Widths::Only(width) => *width,
+                    Widths::ByRoom(widths) => {
+                        room = room.min(widths.len() - 1);
+                        widths[room]
+                    }
+                };
                 room -= width as usize * row.cost;
                 width
             })
@@ -87,6 +102,17 @@
     }
 }
 
+/// The optima with one more job that has a single width.
+fn fixed_row(before: &[f64], curve: &Curve, cost: usize, size: usize) -> Vec<f64> {
+    let taken = curve.min as usize * cost;
+    let gain = curve.factor(curve.min);
+    let with_job = |room: usize| {
+        let left = room.checked_sub(taken).map(|left| left.min(before.len() - 1));
+        left.map_or(f64::NEG_INFINITY, |left| before[left] + gain)
+    };
+    (0..size).map(with_job).collect()
+}
+
 /// One row for any curve: room times width steps.
 fn plain_row(before: &[f64], curve: &Curve, cost: usize, size: usize) -> (Vec<f64>, Vec<u32>) {
     let (mut best, mut choice) = (vec![f64::NEG_INFINITY; size], vec![0; size]);
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -14,7 +14,7 @@
 use stonewheel::{
     controller::{Commit, CommitKind, DirectOutcome, Leader},
     fencing::TermTokens,
-    protocol::{Cause, MachineType, Op, Order, Report, TaskReport, TaskState},
+    protocol::{Cause, MachineId, MachineType, Op, Order, Report, TaskReport, TaskState},
     store::{self, Picture},
 };
 
@@ -500,6 +500,55 @@
     assert_eq!(returned.iter().map(|m| &**m).collect::<Vec<_>>(), ["a-1"]);
 }
 
+/// Six of eight machines run a task each for a new leader, which hears all but
+/// one of them. Which machines it gave back within so many seconds.
+fn returned_by_a_new_leader(others_answer_until_s: Option<f64>, seconds: u32) -> Vec<MachineId> {
+    let mut duty = Duty::new(5);
+    let names = ["n-1", "n-2", "n-3", "n-4", "n-5", "n-6"];
+    for name in names {
+        duty.report(name, 1, &[]);
+    }
+    duty.submit("j-000001", json!({"Shape": "service", "Spokes": 6, "Gpus": 8.0}));
+    duty.settle();
+    let mut tasks: BTreeMap<&str, Vec<TaskReport>> = BTreeMap::new();
+    for name in names {
+        let orders = duty.report(name, 1, &[]);
+        tasks.insert(name, ops(&orders, Op::Start).into_iter().map(running).collect());
+    }
+    let mut duty = duty.succeed(6);
+    let began = duty.now;
+    let alone_from = others_answer_until_s.map(|after| began + Duration::from_secs_f64(after));
+    let mut returned = Vec::new();
+    for _ in 0..seconds {
+        duty.alone = alone_from.filter(|from| *from <= duty.now);
+        for name in &names[1..] {
+            duty.report(name, 1, &tasks[name]);
+        }
+        duty.pass(1.0);
+        returned.extend(duty.leader.take_deletions());
+        let commits = duty.commits();
+        duty.commit(commits);
+    }
+    let bound = duty.bound("j-000001").len();
+    assert_eq!(bound, 6 - usize::from(seconds > 15 && alone_from.is_some()));
+    returned
+}
+
+/// Six machines cut off around a takeover were given back after 8 s, while the
+/// cloud had no others to give (`docs/incidents/inc-b6d2.md`).
+#[tokio::test(start_paused = true)]
+async fn a_new_leader_keeps_a_silent_machine_whose_lease_will_prove_its_tasks_gone() {
+    // The others' promises stand two seconds after the takeover: the proof comes
+    // a lease after that, and frees the task without giving the machine back.
+    assert!(returned_by_a_new_leader(Some(2.0), 12).is_empty());
+    assert!(returned_by_a_new_leader(Some(2.0), 20).is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_new_leader_that_will_have_no_proof_gives_a_silent_machine_back() {
+    assert_eq!(returned_by_a_new_leader(None, 12), ["n-1".into()]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_new_leader_rents_nothing_before_it_has_heard_its_machines() {
     // At each takeover the whole fleet looked gone for a second, and dozens
