Workers wait at a follower for their leader's successor; a candidate followed by a silent controller defers

Change: where nobody leads, or the leader says that it lost its workers, a follower holds a report for up to two report intervals and answers as soon as there is a leader. Of two candidates the one defers whose next controller in the workers' order fell silent.

--- a/src/election.rs
+++ b/src/election.rs
@@ -45,11 +45,8 @@
                 attempt(node, version, ttl).await;
             }
             Some(None) if hold_off.is_none_or(|until| until <= Instant::now()) => {
-                // Not all at the same instant: the first to ask wins. Who hears
-                // no workers while others do lets those go first, for it may
-                // have lost them as its predecessor did.
-                let behind = if node.hears_less() { ttl / 4 } else { Duration::ZERO };
-                tokio::time::sleep(behind + node.jitter(ttl / 32)).await;
+                // Not all at the same instant: the first to ask wins.
+                tokio::time::sleep(defers_for(node, ttl) + node.jitter(ttl / 32)).await;
                 if lock(&node.picture).lead.is_none() {
                     attempt(node, 0, ttl).await;
                 }
@@ -63,6 +60,16 @@
     }
 }
 
+/// For how long a candidate lets others go first.
+fn defers_for(node: &Node, ttl: Duration) -> Duration {
+    // Who hears no workers while others do may have lost them as its predecessor
+    // did.
+    let hears_less = if node.hears_less() { ttl / 4 } else { Duration::ZERO };
+    // As a leader it could not hand the workers on in time.
+    let poor_successor = if node.next_controller_is_silent() { ttl / 8 } else { Duration::ZERO };
+    hears_less + poor_successor
+}
+
 /// One try to take the key from `version` (0: free).
 async fn attempt(node: &Arc<Node>, version: u64, ttl: Duration) {
     let (token_version, token) = lock(&node.picture).token;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -72,12 +72,12 @@
     user_response(reply)
 }
 
-fn report_response(node: &Node, body: &Bytes) -> Response {
+async fn report_response(node: &Node, body: &Bytes) -> Response {
     let report: Report = match serde_json::from_slice(body) {
         Ok(report) => report,
         Err(e) => return error(StatusCode::BAD_REQUEST, e.to_string()),
     };
-    match node.report(&report) {
+    match node.answer_report(&report).await {
         ReportReply::Orders { token, orders } => {
             json(StatusCode::OK, &ReportAnswer { token, orders })
         }
@@ -98,7 +98,7 @@
         .and(warp::post())
         .and(warp::body::bytes())
         .and(with_node.clone())
-        .map(|body: Bytes, node: Arc<Node>| report_response(&node, &body));
+        .then(|body: Bytes, node: Arc<Node>| async move { report_response(&node, &body).await });
     let status = warp::path!("work" / String).and(warp::get()).and(with_node.clone()).then(
         |id: String, node: Arc<Node>| async move {
             let asked = node.clone();
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -76,6 +76,20 @@
             && self.peers.any(self.settings.report() * 2, |heartbeat| heartbeat.turned_reports_away)
     }
 
+    /// Whether the controller that workers try after this one is silent. If such a
+    /// leader loses its workers, they wait for two time-outs in a row before they
+    /// come to a controller that answers, which is about all of their lease. A
+    /// process that just started knows nothing of it: where all start at once
+    /// nobody should wait.
+    pub fn next_controller_is_silent(&self) -> bool {
+        let own = &self.settings.member;
+        let names = self.settings.members.iter().map(|m| &m.member);
+        // Workers go through the controllers in the order of their names.
+        let next = names.clone().filter(|name| *name > own).min().or_else(|| names.min());
+        let lately = self.settings.leader_lease() / 2;
+        next.is_some_and(|next| self.peers.fell_silent(next, lately))
+    }
+
     /// Tells a leader through the state service that workers live, if no
     /// heartbeat can: connections between the controllers may be refused while
     /// the leader loses its workers.
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -12,7 +12,44 @@
     state::lock,
 };
 
+/// For so many report intervals a worker waits here for a leader. Its own
+/// patience is longer.
+const SUCCESSOR_REPORTS: u32 = 2;
+
+/// It is looked for so many times in a report interval.
+const LOOKS_PER_REPORT: u32 = 16;
+
 impl Node {
+    /// Answers a report. A worker that lost its leader and comes while there is
+    /// no other yet waits a while for one: sent on, it may come to a controller
+    /// that is silent and wait there for a whole time-out, which with the first
+    /// one is about all of its lease.
+    pub async fn answer_report(&self, report: &Report) -> ReportReply {
+        let until = Instant::now() + self.settings.report() * SUCCESSOR_REPORTS;
+        loop {
+            let reply = self.report(report);
+            let sent_on = reply == ReportReply::Elsewhere(None);
+            if !sent_on || !self.expects_successor(report) || Instant::now() >= until {
+                return reply;
+            }
+            while self.expects_successor(report) && Instant::now() < until {
+                tokio::time::sleep(self.settings.report() / LOOKS_PER_REPORT).await;
+            }
+        }
+    }
+
+    /// Whether there is no leader for this worker, but soon may be: nobody leads,
+    /// or the leader says that it lost its workers. Not while the state service is
+    /// away, for then nobody can be elected.
+    fn expects_successor(&self, report: &Report) -> bool {
+        let leads = lock(&self.term).is_some();
+        let elected = lock(&self.picture).lead.is_some();
+        report.token > 0
+            && !leads
+            && self.state_ok()
+            && (!elected || self.leader_for(report).is_none())
+    }
+
     pub fn report(&self, report: &Report) -> ReportReply {
         let reply = self.report_as_leader(report);
         match reply {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -249,6 +249,11 @@
         members.iter().all(|member| known.contains(&member.member))
     }
 
+    /// Whether a member that this process has heard is silent for so long.
+    pub fn fell_silent(&self, member: &str, silence: Duration) -> bool {
+        lock(&self.heard).get(member).is_some_and(|(_, at)| at.elapsed() >= silence)
+    }
+
     /// Whether another controller was heard lately and says so of itself.
     pub fn any(&self, within: Duration, says: impl Fn(&Heartbeat) -> bool) -> bool {
         lock(&self.heard).values().any(|(heartbeat, at)| at.elapsed() < within && says(heartbeat))
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -841,7 +841,7 @@
                     });
                     sleep(REPORT_PATIENCE).await;
                 } else {
-                    reply = Some(node.report(&report));
+                    reply = Some(node.answer_report(&report).await);
                 }
             }
             match reply.filter(|_| !deaf) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -299,6 +299,39 @@
     assert!(began.elapsed() < Duration::from_secs(23));
 }
 
+/// A worker sent on before there is a successor would come to a controller that
+/// stands still, and wait for a second time-out there.
+#[tokio::test(start_paused = true)]
+async fn workers_wait_for_a_successor_rather_than_go_on_to_a_silent_controller() {
+    let (world, leader, machines) = full_house("j-000019").await;
+    let silent = (leader + 2) % 3;
+    world.let_cuts_hang();
+    world.sever(silent);
+    world.freeze(silent, 60.0);
+    seconds(5).await;
+    loses_workers_but_no_task(&world, leader, &machines).await;
+    assert_eq!(world.leader(), Some((leader + 1) % 3));
+    for machine in &machines {
+        assert_eq!(world.session(machine), 1, "{machine} lost its lease");
+    }
+}
+
+/// A leader that loses its workers hands them on to the controller after it: while
+/// that one is silent, another had better lead. No worker reports here, for whom
+/// they come to first would decide otherwise.
+#[tokio::test(start_paused = true)]
+async fn of_two_candidates_the_one_whose_next_controller_lives_leads() {
+    let world = World::new(0).await;
+    for round in 0..5 {
+        let leader = world.leader().expect("a leader");
+        world.kill_node(leader);
+        world.until("another leads", || world.leader().is_some_and(|l| l != leader)).await;
+        assert_eq!(world.leader(), Some((leader + 1) % 3), "round {round}");
+        world.start_node(leader);
+        seconds(15).await;
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_worker_that_has_not_heard_the_leader_is_sent_to_it_although_it_hears_few() {
     let (world, leader, machines) = full_house("j-000018").await;
