Rollout: the operators' condition for the next step, as a bounded script

Change: promote_when of a service, an expression in rhai over the step's figures, checked at start, limited in operations, depth, size and time; what fails, takes too long or is no boolean turns the rollout back.

--- a/crates/stonewheel-rollout/src/executor.rs
+++ b/crates/stonewheel-rollout/src/executor.rs
@@ -18,9 +18,10 @@
 
 use crate::{
     command::{Command, CommandError, CommandKind, apply, check_version},
+    condition::PromotionCondition,
     host::{HostError, ReplicaHost, ReplicaOrder},
     observer::Observer,
-    planner::{Facts, Reason, Sightings, Step, decide, has_work},
+    planner::{Facts, Reason, Sightings, Step, Verdict, decide, has_work},
     record::{Replica, ServiceRecord, record_bytes, service_key},
     settings::RolloutSettings,
 };
@@ -53,6 +54,7 @@
 /// What is kept of one service.
 struct Service {
     name: String,
+    promote_when: Option<PromotionCondition>,
     observer: Mutex<Observer>,
     owner_gone_since: Mutex<Option<Instant>>,
     next_look: Mutex<Instant>,
@@ -70,30 +72,32 @@
 }
 
 impl Executor {
-    /// Over the coordination of this controller, for these services. `most_bytes`: the
-    /// largest value that the state service takes.
+    /// Over the coordination of this controller, for these services and what must
+    /// hold before their next steps. `most_bytes`: the largest value that the state
+    /// service takes.
     pub fn new(
         coordinator: Arc<Coordinator>,
         settings: RolloutSettings,
-        services: &[String],
+        services: BTreeMap<String, Option<PromotionCondition>>,
         host: Arc<dyn ReplicaHost>,
         most_bytes: usize,
         seed: u64,
     ) -> Arc<Self> {
-        let service = |name: &String| {
+        let service = |(name, promote_when): (String, Option<PromotionCondition>)| {
             let service = Service {
                 name: name.clone(),
+                promote_when,
                 observer: Mutex::new(Observer::new(settings)),
                 owner_gone_since: Mutex::new(None),
                 next_look: Mutex::new(Instant::now()),
             };
-            (name.clone(), Arc::new(service))
+            (name, Arc::new(service))
         };
         Arc::new(Self {
             coordinator,
             settings,
             host,
-            services: services.iter().map(service).collect(),
+            services: services.into_iter().map(service).collect(),
             most_bytes,
             rng: Mutex::new(StdRng::seed_from_u64(seed)),
         })
@@ -292,11 +296,32 @@
             owner_alive,
             may_adopt,
             sightings: &observer.sightings(now),
-            verdict: &observer.verdict(now),
+            verdict: &self.verdict(service, &observer, &record.value, now),
             job_base: self.job_base(),
         })
     }
 
+    /// What the health gate says, and where it is content the operators' condition.
+    fn verdict(
+        &self,
+        service: &Service,
+        observer: &Observer,
+        record: &ServiceRecord,
+        now: Instant,
+    ) -> Verdict {
+        let verdict = observer.verdict(now);
+        let Some(condition) = service.promote_when.as_ref().filter(|_| verdict == Verdict::Healthy)
+        else {
+            return verdict;
+        };
+        let figures = observer.step_figures(record, now);
+        match condition.holds(&figures, self.settings.condition_limit()) {
+            Ok(true) => Verdict::Healthy,
+            Ok(false) => Verdict::Unhealthy("the promotion condition does not hold".into()),
+            Err(error) => Verdict::Unhealthy(error.to_string()),
+        }
+    }
+
     fn wake_at(&self, service: &Service, reason: Reason) -> Instant {
         let now = Instant::now();
         let look = (*lock(&service.next_look)).max(now);
--- a/crates/stonewheel-rollout/src/lib.rs
+++ b/crates/stonewheel-rollout/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(missing_docs)]
 
 pub mod command;
+mod condition;
 mod executor;
 mod host;
 mod observer;
@@ -16,6 +17,7 @@
 mod routes;
 mod settings;
 
+pub use condition::{ConditionError, PromotionCondition, StepFigures};
 pub use executor::{CommandFailure, Executor};
 pub use host::{HostError, Look, ReplicaHost, ReplicaOrder};
 pub use routes::serve;
--- a/crates/stonewheel-rollout/src/observer.rs
+++ b/crates/stonewheel-rollout/src/observer.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use crate::{
+    condition::StepFigures,
     host::Look,
     planner::{Seen, Sighting, Sightings, Verdict},
     record::{Phase, ReplicaStage, ServiceRecord},
@@ -179,6 +180,19 @@
         }
     }
 
+    /// What was counted of the step that is watched.
+    pub fn step_figures(&self, record: &ServiceRecord, now: Instant) -> StepFigures {
+        let Some(rollout) = record.under_way() else { return StepFigures::default() };
+        StepFigures {
+            looks: self.soak_looks,
+            failures: self.soak_failures,
+            answering: self.sightings(now).answering(record).len() as u32,
+            level: rollout.level,
+            step: rollout.step + 1,
+            steps: rollout.steps.len() as u32,
+        }
+    }
+
     /// When something comes due that no look brings.
     pub fn next_due(&self, now: Instant) -> Option<Instant> {
         let drains = self.replicas.values().filter_map(|s| s.draining_since);
--- a/crates/stonewheel-rollout/src/settings.rs
+++ b/crates/stonewheel-rollout/src/settings.rs
@@ -3,6 +3,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
+use crate::condition::PromotionCondition;
 use garde::Validate;
 use stonewheel_settings::{Section, SectionError, check_name, known_priority, path, whole};
 
@@ -11,6 +12,10 @@
 /// The sections of services are called this and the service's name.
 const SERVICE_SECTION: &str = "service ";
 
+/// Of the time between two looks, a promotion condition may take one in so many parts.
+/// Its operations are limited too, and mostly end it far earlier; a process that
+/// stands still for a moment must not turn a rollout back.
+const CONDITION_PARTS: u32 = 4;
 /// A millisecond: nothing here is measured more finely.
 const SHORTEST_S: f64 = 0.001;
 /// A day: longer waits are mistakes.
@@ -78,6 +83,10 @@
     /// The path that a replica answers with 200 once it can take requests.
     #[garde(custom(path))]
     pub health: String,
+    /// What must hold of a step that the health gate takes for healthy, before the
+    /// next one.
+    #[garde(skip)]
+    pub promote_when: Option<PromotionCondition>,
 }
 
 /// All settings of this part.
@@ -178,12 +187,27 @@
         memory_gb: section.number("memory_gb", None)?,
         port: section.number("port", None)?,
         health: section.text("health", Some("/health"))?,
+        promote_when: promote_when(&mut section)?,
     };
     section.end()?;
     Ok(settings)
 }
 
+fn promote_when(section: &mut Section<'_>) -> Result<Option<PromotionCondition>, SectionError> {
+    let text = section.text("promote_when", Some(""))?;
+    if text.is_empty() {
+        return Ok(None);
+    }
+    let condition = PromotionCondition::parse(&text);
+    condition.map(Some).map_err(|error| section.error("promote_when", &error.to_string()))
+}
+
 impl RolloutSettings {
+    /// How long an evaluation of a promotion condition may take.
+    pub fn condition_limit(&self) -> Duration {
+        self.look() / CONDITION_PARTS
+    }
+
     /// How often replicas are looked at.
     pub fn look(&self) -> Duration {
         Duration::from_secs_f64(self.look_s)
--- a/crates/stonewheel-rollout/src/settings/tests.rs
+++ b/crates/stonewheel-rollout/src/settings/tests.rs
@@ -51,6 +51,8 @@
         ("priority", "urgent", "service matcher.priority"),
         ("cpus", "-1", "service matcher.cpus"),
         ("image", "x", "service matcher.image"),
+        ("promote_when", "failures <", "service matcher.promote_when"),
+        ("promote_when", "errors == 0", "service matcher.promote_when"),
     ];
     for (key, value, field) in service {
         let error = parse(general_pairs(), with(service_pairs(), key, value)).expect_err(field);
--- a/crates/stonewheel-rollout/tests/common/deployment.rs
+++ b/crates/stonewheel-rollout/tests/common/deployment.rs
@@ -11,7 +11,7 @@
 };
 
 use stonewheel_rollout::{
-    CommandFailure, Executor, RolloutSettings,
+    CommandFailure, Executor, PromotionCondition, RolloutSettings,
     command::{Command, CommandKind},
     record::{Phase, ReplicaStage, ServiceRecord, service_key},
 };
@@ -53,13 +53,26 @@
     pub servers: Servers,
     pub noticed: Arc<Noticed>,
     running: Arc<Mutex<BTreeMap<usize, Running>>>,
+    promote_when: Option<PromotionCondition>,
     seeds: Arc<AtomicU32>,
 }
 
 impl Deployment {
     /// Three controllers and a service of `level` replicas of version `one`.
     pub async fn new(level: u32, machines: usize, capacity: usize) -> Self {
+        Self::with_condition(level, machines, capacity, None).await
+    }
+
+    /// The same with a condition for each next step.
+    pub async fn with_condition(
+        level: u32,
+        machines: usize,
+        capacity: usize,
+        promote_when: Option<&str>,
+    ) -> Self {
+        let condition = |text| PromotionCondition::parse(text).expect("a script");
         let deployment = Self {
+            promote_when: promote_when.map(condition),
             state: MemState::default(),
             servers: Servers::new(machines, capacity),
             noticed: Arc::default(),
@@ -86,8 +99,8 @@
         let stop = CancellationToken::new();
         let coordinator = coordinated(&self.state, &client, (at, 3), seed, timing(SESSION), &stop);
         let host = self.servers.client(&client);
-        let services = [SERVICE.to_owned()];
-        let executor = Executor::new(coordinator, rollout_settings(), &services, host, 8192, seed);
+        let services = [(SERVICE.to_owned(), self.promote_when.clone())].into();
+        let executor = Executor::new(coordinator, rollout_settings(), services, host, 8192, seed);
         tokio::spawn(executor.clone().run(stop.clone()));
         let running = Running { executor, stop, client };
         self.running.lock().expect("not poisoned").insert(at, running);
--- a/crates/stonewheel-rollout/tests/stories.rs
+++ b/crates/stonewheel-rollout/tests/stories.rs
@@ -80,6 +80,50 @@
     assert_eq!(deployment.servers.most_stops_of_one(), 1);
 }
 
+fn why_back(deployment: &Deployment) -> String {
+    let rollout = deployment.record().rollout.expect("it was one");
+    let back = rollout.history.into_iter().find(|entry| entry.phase == Phase::RollingBack);
+    back.expect("it turned back").why
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_step_goes_on_only_while_the_operators_condition_holds() {
+    let kept = Deployment::with_condition(LEVEL, 10, 4, Some("failures == 0")).await;
+    kept.roll_out(0, 3).await.expect("accepted");
+    ends(&kept, Phase::Done, "two").await;
+    kept.assert_kept(LEVEL);
+    for (condition, why) in [
+        ("step < 2", "does not hold"),
+        ("looks / (step - 2) < 0 && true", "fails"),
+        ("loop { }", "takes too long"),
+    ] {
+        let deployment = Deployment::with_condition(LEVEL, 10, 4, Some(condition)).await;
+        deployment.roll_out(0, 3).await.expect("accepted");
+        ends(&deployment, Phase::RolledBack, "one").await;
+        deployment.assert_kept(LEVEL);
+        assert!(why_back(&deployment).contains(why), "{}", why_back(&deployment));
+    }
+}
+
+/// An upgrade replaces the controllers one after the other, whichever owns the rollout
+/// then, and the last of them at every point of it.
+#[tokio::test(start_paused = true)]
+async fn controllers_that_are_replaced_one_by_one_see_the_rollout_through() {
+    for after_s in (0..40).step_by(5) {
+        let deployment = Deployment::new(LEVEL, 10, 4).await;
+        deployment.roll_out(0, 3).await.expect("accepted");
+        sleep(Duration::from_secs(after_s)).await;
+        for at in 0..3 {
+            deployment.kill(at);
+            sleep(Duration::from_secs(5)).await;
+            deployment.start(at);
+            sleep(Duration::from_secs(5)).await;
+        }
+        ends(&deployment, Phase::Done, "two").await;
+        deployment.assert_kept(LEVEL);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn the_machine_with_most_of_either_version_is_lost_within_a_step() {
     for version in ["one", "two"] {
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -107,8 +107,10 @@
 ) -> Option<Arc<Executor>> {
     let settings = node.settings.operator.rollout.clone()?;
     let jobs = ReplicaJobs::new(node.clone(), probe);
-    let names: Vec<String> = settings.services.keys().cloned().collect();
+    let services = settings.services.iter();
+    let gates = services.map(|(name, service)| (name.clone(), service.promote_when.clone()));
+    let gates = gates.collect();
     let host = Arc::new(SchedulerHost { jobs, services: settings.services.clone() });
     let most = node.settings.state_limits().value_bytes;
-    Some(Executor::new(coordinator, settings.times, &names, host, most, seed))
+    Some(Executor::new(coordinator, settings.times, gates, host, most, seed))
 }
