--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -9,7 +9,7 @@
 //! `reports` reviews what workers say, `direct_orders` sends orders to their own
 //! addresses, `cancellations` sees to it that cancelled tasks go in time, `planner` makes scheduling passes,
 //! `writes` and `pages` make them durable, `autoscaler` rents and returns
-//! machines, `job` holds one job; here is what they share, and the time.
+//! machines, `job` holds one job, `summary` tells the operator how it goes; here is what they share, and the time.
 
 mod autoscaler;
 mod cancellations;
@@ -18,6 +18,7 @@
 mod pages;
 mod planner;
 mod reports;
+mod summary;
 mod writes;
 
 use std::{
@@ -32,6 +33,7 @@
 use direct_orders::CommandQueue;
 pub use direct_orders::{DirectOutcome, DirectRequest, OpenStarts};
 use job::{Binding, Job, Stop};
+pub use summary::Effort;
 pub use writes::{Commit, CommitKind};
 
 use crate::{
@@ -47,21 +49,6 @@
 /// reports, answers and the renewal of the lease.
 const PASS_PARTS: u32 = 8;
 
-/// What the duty has cost so far, in operations rather than seconds.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Effort {
-    pub reports: u64,
-    /// Bound or reported tasks looked at for them.
-    pub reviewed: u64,
-    /// Turns of the leader's loop.
-    pub ticks: u64,
-    /// Looks over all machines and jobs for what time alone brings.
-    pub sweeps: u64,
-    pub passes: u64,
-    /// Places weighed in them.
-    pub weighed: u64,
-}
-
 /// The report shows a higher token: someone else leads.
 #[derive(Debug, PartialEq)]
 pub struct Deposed;
@@ -445,46 +432,6 @@
         let more = self.fleet.machines.len() > self.settings.public_sockets();
         more && !std::mem::replace(&mut self.outnumbered, true)
     }
-
-    /// One line for the operator.
-    pub fn summary(&self, now: Instant) -> String {
-        let report = self.settings.report();
-        let (mut ready, mut idle, mut booting) = (0, 0, 0);
-        // GPUs in use and held, on spot machines [0] and ordinary ones [1];
-        // and what work that may use spot machines has of the latter.
-        let (mut used, mut held, mut misplaced) = ([0.0; 2], [0.0; 2], 0.0);
-        for machine in self.fleet.machines.values() {
-            if !machine.heard() {
-                booting += 1;
-                continue;
-            }
-            ready += u32::from(machine.ready(now, report));
-            idle += u32::from(machine.bound.is_empty());
-            let at = usize::from(!machine.spot);
-            held[at] +=
-                self.types.iter().find(|t| t.name == machine.machine_type).map_or(0.0, |t| t.gpus);
-            for spec in machine.bound.iter().filter_map(|(job, _)| Some(&self.jobs.get(job)?.spec))
-            {
-                used[at] += spec.gpus;
-                if spec.spot && !machine.spot {
-                    misplaced += spec.gpus;
-                }
-            }
-        }
-        let waiting = self.jobs.values().filter(|j| j.bound.is_empty() && j.is_active()).count();
-        let dependent =
-            self.jobs.values().filter(|j| j.waits_for_others && j.ended.is_none()).count();
-        format!(
-            "jobs {} (waiting {waiting}, for others {dependent}), GPUs {} of {} ordinary ({misplaced} by work for spot) and {} of {} spot, machines {} (booting {booting}, ready {ready}, idle {idle}), {:?}",
-            self.jobs.len(),
-            used[1],
-            held[1],
-            used[0],
-            held[0],
-            self.fleet.machines.len(),
-            self.effort
-        )
-    }
 }
 
 fn use_team(usage: &mut HashMap<Arc<str>, TeamUse>, spec: &JobSpec, sign: f64) {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -6,26 +6,26 @@
 //! the cloud answered; or the worker's lease, counted from the leader's last
 //! answer and from when surely no other controller answers (`lease_renewal.rs`).
 
+mod image_cache;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
-    net::SocketAddr,
     sync::Arc,
 };
 
-use futures_util::future::BoxFuture;
-use hyper::{Method, StatusCode};
-
 use tokio::time::{Duration, Instant};
 
 use crate::{
     controller::OpenStarts,
     fencing::TermTokens,
-    http::client::{CallError, HttpClient},
-    protocol::{DirectOrders, JobId, ListedMachine, MachineId, MachineState, Report},
+    protocol::{JobId, ListedMachine, MachineId, MachineState, Report},
     scheduler::Resources,
     settings::Settings,
 };
 
+pub use image_cache::ImageCache;
+
+/// A job and the number of one of its tasks.
 pub type TaskKey = (JobId, u32);
 
 /// Reads the wire's `j-000412/3`.
@@ -34,91 +34,11 @@
     Some((job.into(), task.parse().ok()?))
 }
 
+/// The wire's name of a task.
 pub fn task_name(job: &str, task: u32) -> String {
     format!("{job}/{task}")
 }
 
-/// Orders sent to a worker's own address. The answer is its report after
-/// them, or after refusing them; without an answer they may still be carried
-/// out for as long as token and session match.
-pub trait WorkerApi: Send + Sync {
-    fn command(&self, addr: &str, orders: DirectOrders)
-    -> BoxFuture<'_, Result<Report, CallError>>;
-}
-
-/// Each call takes a socket; the leader composes no more orders than there are
-/// sockets for them (`controller/direct_orders.rs`), so none waits here.
-pub struct HttpWorkers {
-    client: HttpClient,
-    timeout: Duration,
-}
-
-impl HttpWorkers {
-    pub fn new(settings: &Settings) -> Self {
-        let timeout = settings.report();
-        // Orders to one machine mostly come alone, so nothing is kept open
-        // for longer than a call may last.
-        // A connection is given up before the call is, so that it is known then
-        // that nothing was sent.
-        let client = HttpClient::new(1, timeout / 4, timeout * 3 / 4);
-        Self { client, timeout }
-    }
-}
-
-impl WorkerApi for HttpWorkers {
-    fn command(
-        &self,
-        addr: &str,
-        orders: DirectOrders,
-    ) -> BoxFuture<'_, Result<Report, CallError>> {
-        let addr = addr.parse::<SocketAddr>();
-        Box::pin(async move {
-            let addr = addr.map_err(|e| CallError::Malformed(e.to_string()))?;
-            let body = Some(&orders);
-            let answer =
-                self.client.call(Method::POST, addr, "/commands", body, self.timeout).await?;
-            match answer.status {
-                StatusCode::OK | StatusCode::CONFLICT => answer.parse(),
-                other => Err(CallError::Malformed(format!("status {other}"))),
-            }
-        })
-    }
-}
-
-/// The images that a machine holds with their sizes in GB, the latest used last.
-#[derive(Debug, Default)]
-pub struct ImageCache(Vec<(Arc<str>, f64)>);
-
-impl ImageCache {
-    /// Notes that a task uses an image. What then no longer fits the cache is
-    /// gone, the longest unused first, but not what tasks here use.
-    pub fn note(
-        &mut self,
-        image: &Arc<str>,
-        gb: f64,
-        cache_gb: f64,
-        used: impl Fn(&Arc<str>) -> bool,
-    ) {
-        // Tasks of one array come to a machine by the hundred.
-        if self.0.last().is_some_and(|(latest, _)| latest == image) {
-            return;
-        }
-        self.0.retain(|(held, _)| held != image);
-        self.0.push((image.clone(), gb));
-        let mut over = self.0.iter().map(|(_, gb)| gb).sum::<f64>() - cache_gb;
-        self.0.retain(|(held, gb)| {
-            let goes = over > 0.0 && held != image && !used(held);
-            over -= if goes { *gb } else { 0.0 };
-            !goes
-        });
-    }
-
-    /// The names of the images, the latest used last.
-    pub fn names(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.0.iter().map(|(image, _)| image)
-    }
-}
-
 #[derive(Debug)]
 pub struct Machine {
     pub machine_type: Arc<str>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod settings;
 pub mod state;
 pub mod store;
+pub mod worker_client;
 
 pub use stonewheel_protocol as protocol;
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,8 +9,8 @@
 
 use clap::Parser;
 use stonewheel::{
-    activation, cloud::HttpCloud, coordination, fleet::HttpWorkers, node::Node,
-    replica_jobs::HttpProbe, rollout, settings::Settings, state,
+    activation, cloud::HttpCloud, coordination, node::Node, replica_jobs::HttpProbe, rollout,
+    settings::Settings, state, worker_client::HttpWorkers,
 };
 use tokio::net::TcpListener;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -34,13 +34,13 @@
     controller::{Effort, Leader},
     election,
     fencing::TermTokens,
-    fleet::WorkerApi,
     http, peers,
     peers::Peers,
     protocol::{JobId, JobStatus, MachineId, Order},
     settings::Settings,
     state::{self, Budget, StateApi, Writer, lock},
     store::{Lead, Picture},
+    worker_client::WorkerApi,
 };
 
 pub use leading::lead_duty;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -15,7 +15,6 @@
 use serde_json::json;
 use stonewheel::{
     cloud::{CloudApi, CloudError},
-    fleet::WorkerApi,
     http::client::CallError,
     node::{Node, ReportReply, Trouble, UserReply},
     peers,
@@ -25,6 +24,7 @@
     },
     settings::{Member, NextStateLimits, Settings},
     store,
+    worker_client::WorkerApi,
 };
 use stonewheel_activation::ActivationSettings;
 use stonewheel_rollout::Rollouts;
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -21,9 +21,9 @@
 use serde_json::json;
 use stonewheel::{
     cloud::{CloudApi, CloudError},
-    fleet::HttpWorkers,
     node::Node,
     protocol::{MachineId, MachineList, MachineType, Rental},
+    worker_client::HttpWorkers,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, BufReader},
