--- a/crates/stonewheel-protocol/src/controllers.rs
+++ b/crates/stonewheel-protocol/src/controllers.rs
@@ -25,7 +25,7 @@
     pub acknowledged: Option<HeartbeatId>,
     /// Whether the sender is the leader.
     pub leads: bool,
-    /// The highest fencing token in the sender's watch cache.
+    /// The highest fencing token in the sender's watch cache or in a heartbeat that it received.
     pub token: u64,
     /// Whether the state service answered the sender within the last leader lease.
     pub state_ok: bool,
@@ -81,3 +81,46 @@
     /// The number of the job's tasks that had completed.
     pub done: u32,
 }
+
+/// How the sender takes part in the replication of confirmed cancellations, sent in a frame
+/// section of its own (`peers/frames.rs`). Durations are measured by the sender's clock, up to
+/// the moment at which it composed the message.
+#[derive(Clone, Debug, PartialEq, bitcode::Encode, bitcode::Decode)]
+pub struct CancellationSync {
+    /// The latest heartbeat of the receiver that the sender has received.
+    pub received: Option<HeartbeatId>,
+    /// The cancellations in the sender's watch cache after the receiver's revision, without
+    /// those of jobs that certainly have no task left.
+    pub notice: CancellationNotice,
+    /// What the sender knows about the cancellations that each member has confirmed.
+    pub known: Vec<KnownMember>,
+    /// For how long the sender's confirmations are covered by a promise to the receiving process
+    /// (`CancellationReplication` in `lease_renewal`), in milliseconds.
+    pub covered_for_ms: u64,
+    /// Whether the sender extends that promise until the replication hold has passed since it
+    /// received the heartbeat `received`.
+    pub hold_promised: bool,
+    /// Whether the receiver should answer at once, since users wait for its acknowledgement.
+    pub reply_requested: bool,
+}
+
+/// What a controller knows about the cancellations that one member has confirmed to users.
+#[derive(Clone, Debug, PartialEq, bitcode::Encode, bitcode::Decode)]
+pub struct KnownMember {
+    /// The member's name in the settings.
+    pub member: String,
+    /// Every cancellation that any process of the member confirmed more than this time ago is
+    /// known, in milliseconds. None if that can't be said of any time.
+    pub age_ms: Option<u64>,
+    /// The period in which promises to the controller cover the member's confirmations.
+    pub coverage: Option<CoverageAge>,
+}
+
+/// The age of the beginning and of the end of a period that promises cover.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, bitcode::Encode, bitcode::Decode)]
+pub struct CoverageAge {
+    /// How long ago the period began, in milliseconds.
+    pub from_ms: u64,
+    /// How long ago the period ended, in milliseconds. 0 if it has not ended.
+    pub until_ms: u64,
+}
--- a/crates/stonewheel-testing/src/state.rs
+++ b/crates/stonewheel-testing/src/state.rs
@@ -29,6 +29,8 @@
     leases: HashMap<u64, (Duration, Instant)>,
     next_lease: u64,
     outage: bool,
+    /// Whether an outage begins with the next transaction that is executed.
+    outage_after_next_commit: bool,
     /// Clients that are answered with status 503.
     refused_clients: HashSet<String>,
     /// Clients whose transactions are held back and not answered.
@@ -178,6 +180,12 @@
         }
     }
 
+    /// Begins an outage with the next transaction that is executed: its client gets the answer,
+    /// and no other client learns of its writes.
+    pub fn begin_outage_after_next_commit(&self) {
+        lock(&self.0).outage_after_next_commit = true;
+    }
+
     /// Answers this client with status 503, or serves it again.
     pub fn refuse(&self, client: &str, on: bool) {
         let mut store = lock(&self.0);
@@ -385,6 +393,10 @@
                     true
                 } else {
                     let result = store.multi(&txn);
+                    if result.is_ok() && store.outage_after_next_commit {
+                        store.outage_after_next_commit = false;
+                        store.outage = true;
+                    }
                     let answers_to_lose =
                         store.answers_to_lose.entry(self.name.clone()).or_default();
                     if *answers_to_lose == 0 {
--- a/src/lease_renewal/abstentions.rs
+++ b/src/lease_renewal/abstentions.rs
@@ -148,9 +148,14 @@
         Some(sent_at)
     }
 
+    /// The incarnation of this process.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// When this process sent a heartbeat. None if the heartbeat is not remembered or a
     /// former process of this member sent it.
-    fn sent_at(&self, id: HeartbeatId) -> Option<Instant> {
+    pub fn sent_at(&self, id: HeartbeatId) -> Option<Instant> {
         if id.incarnation != self.incarnation {
             return None;
         }
--- a/src/lease_renewal/mod.rs
+++ b/src/lease_renewal/mod.rs
@@ -21,19 +21,27 @@
 //!
 //! A controller that renews leases may not know the latest cancellations. For example,
 //! the state service may refuse only the leader's requests while another controller
-//! confirms cancellations, and then become unavailable to all controllers. A leader that
-//! receives such cancellations in a notice from another controller stops their tasks,
-//! since an end that was confirmed to a user is durable. A leader answers workers only
-//! while it knows, for each other controller, all cancellations that the controller may
-//! have confirmed up to a recent moment (`CancellationWatermarks`). The moment must be
-//! recent enough for worker leases to expire within `cancel_s` of a later cancellation.
-//! Followers stop renewing leases at the same limit.
+//! confirms cancellations, and then become unavailable to all controllers. A controller that
+//! receives such cancellations in a notice from another one stops their tasks,
+//! since an end that was confirmed to a user is durable. A controller, as the leader or as a
+//! follower, renews leases only while it knows, for each controller, all cancellations that any
+//! of its processes may have confirmed up to a recent moment (`KnownCancellations`). The moment
+//! must be recent enough for worker leases to expire within `cancel_s` of a later cancellation.
+//!
+//! What a process knows is lost when it crashes, and one that starts during an outage can read
+//! nothing. So no controller confirms a cancellation to a user before the controllers that
+//! it is in contact with have acknowledged it (`CancellationReplication`), and a started process
+//! renews no lease until the others have told it what they know.
 
 mod abstentions;
-mod cancellation_watermarks;
+mod cancellation_replication;
+mod known_cancellations;
 
 pub use abstentions::{LeaderHeartbeat, OutgoingHeartbeat, RenewalAbstentions};
-pub use cancellation_watermarks::CancellationWatermarks;
+pub use cancellation_replication::{CancellationReplication, Position, ReplicationClaim};
+pub use known_cancellations::{KnowledgeReport, KnownCancellations};
 
+#[cfg(test)]
+mod replication_tests;
 #[cfg(test)]
 mod tests;
--- a/src/lease_renewal/tests.rs
+++ b/src/lease_renewal/tests.rs
@@ -4,6 +4,7 @@
 use crate::protocol::HeartbeatId;
 
 const ABSTENTION: Duration = Duration::from_secs(4);
+const HOLD: Duration = Duration::from_secs(7);
 
 fn leader_and_follower() -> (RenewalAbstentions, RenewalAbstentions, Instant) {
     let now = Instant::now();
@@ -84,22 +85,21 @@
 }
 
 #[test]
-fn watermark_is_the_earliest_of_all_members() {
+fn cancellations_are_known_until_the_earliest_moment_of_all_members() {
     let now = Instant::now();
     let at = |s: u64| now + Duration::from_secs(s);
-    let watermark =
-        |watermarks: &CancellationWatermarks| watermarks.known_until(["b", "c"].into_iter());
-    let mut watermarks = CancellationWatermarks::default();
-    assert_eq!(watermark(&watermarks), None, "no read yet");
-    watermarks.record_read(at(5));
-    assert_eq!(watermark(&watermarks), Some(at(5)), "a read counts for all members");
-    watermarks.record_complete_notice("b", at(9));
-    assert_eq!(watermark(&watermarks), Some(at(5)), "c may have confirmed more cancellations");
-    watermarks.record_complete_notice("c", at(7));
-    assert_eq!(watermark(&watermarks), Some(at(7)));
-    watermarks.record_complete_notice("b", at(8));
-    watermarks.record_read(at(6));
-    assert_eq!(watermark(&watermarks), Some(at(7)), "late records don't move the watermark back");
+    let mut known = KnownCancellations::new("a", &["b".to_owned(), "c".to_owned()], HOLD, now);
+    let known_until = |known: &KnownCancellations| known.known_until(at(100));
+    assert_eq!(known_until(&known), None, "no read yet");
+    known.record_read(at(5));
+    assert_eq!(known_until(&known), Some(at(5)), "a read counts for all members");
+    known.record_complete_notice("b", at(9));
+    assert_eq!(known_until(&known), Some(at(5)), "c may have confirmed more cancellations");
+    known.record_complete_notice("c", at(7));
+    assert_eq!(known_until(&known), Some(at(7)));
+    known.record_complete_notice("b", at(8));
+    known.record_read(at(6));
+    assert_eq!(known_until(&known), Some(at(7)), "late records don't move the moment back");
 }
 
 #[test]
--- a/src/node/instance.rs
+++ b/src/node/instance.rs
@@ -18,7 +18,7 @@
 use crate::{
     admission_limit::AdmissionLimit,
     cloud::CloudApi,
-    peers::Peers,
+    peers::{PeerTimings, Peers},
     protocol::JobId,
     replies::Unavailable,
     settings::Settings,
@@ -100,7 +100,7 @@
             watch_cache: Mutex::new(WatchCache::with_notice_limit(
                 settings.max_cancellations_per_heartbeat(),
             )),
-            peers: Peers::new(members, settings.renewal_abstention(), incarnation),
+            peers: Peers::new(&settings.member, members, peer_timings(&settings), incarnation),
             settings,
             leadership_changed: Notify::new(),
             incarnation,
@@ -147,3 +147,12 @@
         self.state_health.answered_within(self.settings.leader_lease())
     }
 }
+
+/// The durations for which this controller and the others rely on each other's messages.
+fn peer_timings(settings: &Settings) -> PeerTimings {
+    PeerTimings {
+        abstention: settings.renewal_abstention(),
+        replication_hold: settings.replication_hold(),
+        acknowledgement_timeout: settings.acknowledgement_timeout(),
+    }
+}
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -5,9 +5,11 @@
 
 use super::instance::Node;
 use crate::{
-    lease_renewal::{LeaderHeartbeat, OutgoingHeartbeat},
-    peers::{LinkSettings, Message, MessageHandler, max_cancellations_per_frame},
-    protocol::{CancellationNotice, ControllerHeartbeat, JobState, WorkerContact, Write},
+    lease_renewal::{LeaderHeartbeat, OutgoingHeartbeat, ReplicationClaim},
+    peers::{LinkSettings, Message, MessageHandler, SyncedHeartbeat, max_cancellations_per_frame},
+    protocol::{
+        CancellationNotice, CancellationSync, ControllerHeartbeat, JobState, WorkerContact, Write,
+    },
     state::lock,
     store::{self, JobEnd, WatchCache},
 };
@@ -30,8 +32,8 @@
         Node::on_message(self, message);
     }
 
-    fn immediate_heartbeats(&self) -> watch::Receiver<()> {
-        self.peers.immediate_heartbeats()
+    fn immediate_heartbeats(&self, receiver: &str) -> Option<watch::Receiver<()>> {
+        self.peers.immediate_heartbeats(receiver)
     }
 }
 
@@ -40,8 +42,46 @@
     pub fn message(&self, receiver: &str) -> Message {
         let lost = self.has_lost_workers();
         let heartbeat = self.controller_heartbeat(receiver);
+        let cancellation_sync = self.cancellation_sync(receiver, &heartbeat);
         let message = Message::new(heartbeat, self.settings.frame_limit());
-        Message { worker_contact: WorkerContact { lost }, ..message }
+        Message { worker_contact: WorkerContact { lost }, cancellation_sync, ..message }
+    }
+
+    /// Builds the cancellation sync of a message that contains this heartbeat. None if the receiver
+    /// is not a member.
+    fn cancellation_sync(
+        &self,
+        receiver: &str,
+        heartbeat: &ControllerHeartbeat,
+    ) -> Option<CancellationSync> {
+        let now = Instant::now();
+        let position = self.peers.replication_position();
+        let synced = self.peers.latest_synced(receiver);
+        let in_heartbeat = heartbeat.cancellations.as_ref().map_or(0, |notice| notice.jobs.len());
+        let limit = self.max_cancellations_for(receiver).saturating_sub(in_heartbeat);
+        let since = synced.map_or(0, |synced| synced.revision);
+        let notice = lock(&self.watch_cache).unfinished_cancellations_since(since, limit);
+        if notice.complete {
+            let receiver_incarnation = synced.map(|synced| synced.id.incarnation);
+            self.peers.record_sent_notice(heartbeat.id, position, receiver_incarnation);
+        }
+        let ReplicationClaim { covered_for, hold_promised, reply_requested } =
+            self.peers.replication_claim(receiver, now)?;
+        Some(CancellationSync {
+            received: synced.map(|synced| synced.id),
+            notice,
+            known: self.peers.known_cancellations(now),
+            covered_for_ms: covered_for.as_millis() as u64,
+            hold_promised,
+            reply_requested,
+        })
+    }
+
+    /// How many cancellations fit one message to this member. The receiver drops a frame that
+    /// exceeds its length limit, with the whole message.
+    fn max_cancellations_for(&self, receiver: &str) -> usize {
+        let max_per_frame = max_cancellations_per_frame(self.peers.frame_limit(receiver));
+        self.settings.max_cancellations_per_heartbeat().min(max_per_frame)
     }
 
     /// Whether this node is the leader and most workers have been silent for too long.
@@ -69,6 +109,7 @@
     pub fn controller_heartbeat(&self, receiver: &str) -> ControllerHeartbeat {
         let OutgoingHeartbeat { id, acknowledged } = self.peers.next_heartbeat(receiver);
         let (leads, state_ok) = (self.is_leader(), self.state_service_reachable());
+        let token = self.last_known_token();
         let watch_cache = lock(&self.watch_cache);
         // Before the records are loaded, the watch cache has none of the cancellations that
         // an earlier process of this member confirmed, so a notice could be incomplete.
@@ -80,7 +121,7 @@
             id,
             acknowledged: acknowledged.map(|acknowledged| acknowledged.id),
             leads,
-            token: watch_cache.token.value,
+            token,
             state_ok,
             // Every member gets the same value. If a rejection were reported only to the
             // member that is sent the next heartbeat, the leader might never learn of it.
@@ -99,10 +140,7 @@
         watch_cache: &WatchCache,
     ) -> CancellationNotice {
         let since = acknowledged.revision;
-        // The receiver drops a frame that exceeds its length limit, with the whole message.
-        let max_per_frame = max_cancellations_per_frame(self.peers.frame_limit(receiver));
-        let max = self.settings.max_cancellations_per_heartbeat().min(max_per_frame);
-        watch_cache.cancelled_since(since, max)
+        watch_cache.cancelled_since(since, self.max_cancellations_for(receiver))
     }
 
     /// Whether this node rejected a worker heartbeat within the last two heartbeat
@@ -161,7 +199,20 @@
         self.peers.record_features(member, message.features);
         self.peers.record_frame_limit(member, message.frame_limit);
         self.peers.record_worker_contact(member, message.worker_contact);
+        let (member, id) = (member.clone(), message.heartbeat.id);
+        let synced = SyncedHeartbeat { id, revision: message.heartbeat.revision };
         self.on_controller_heartbeat(message.heartbeat);
+        match message.cancellation_sync {
+            Some(sync) => self.on_cancellation_sync(&member, synced, &sync),
+            None => self.peers.record_missing_sync(&member),
+        }
+    }
+
+    /// Processes the cancellation sync of another controller's message.
+    fn on_cancellation_sync(&self, member: &str, synced: SyncedHeartbeat, sync: &CancellationSync) {
+        self.apply_cancellation_notice(Some(&sync.notice));
+        let revision = lock(&self.watch_cache).revision;
+        self.peers.record_sync(member, synced, sync, revision);
     }
 
     /// Processes a heartbeat from another controller.
--- a/src/node/records.rs
+++ b/src/node/records.rs
@@ -8,7 +8,7 @@
 
 use super::instance::Node;
 use crate::{
-    protocol::{Events, Item, JobId, Write},
+    protocol::{Events, Item, JobId, JobState, Write},
     replies::Unavailable,
     state::{Reserve, StateError, lock},
     store::{Change, KEY_PREFIX},
@@ -49,6 +49,7 @@
         if changes.contains(&Change::HeartbeatsRejected) {
             self.rejected_heartbeats.record_remote();
         }
+        self.record_cancellations(changes);
         self.record_confirmations(changes);
         let watch_cache = lock(&self.watch_cache);
         if let Some(leader) = lock(&self.term).as_mut().and_then(|t| t.leader.as_mut()) {
@@ -61,6 +62,22 @@
         }
     }
 
+    /// Records the newly cancelled jobs as not yet acknowledged by the other controllers.
+    fn record_cancellations(&self, changes: &[Change]) {
+        let watch_cache = lock(&self.watch_cache);
+        let mut cancelled = ended_jobs(changes)
+            .filter(|id| {
+                let end = watch_cache.ended_jobs.get(id);
+                end.is_some_and(|end| end.state == JobState::Cancelled)
+            })
+            .peekable();
+        if watch_cache.loaded {
+            cancelled.for_each(|id| self.peers.record_cancellation(id));
+        } else if cancelled.peek().is_some() {
+            self.peers.record_untracked_cancellations();
+        }
+    }
+
     /// Records for each newly ended job the earliest time at which its end may have been
     /// confirmed to a user. That is the time up to which all cancellations were known before.
     /// Ends that a process finds when it starts may have been confirmed before its start:
@@ -72,7 +89,8 @@
         let assumed_age = Duration::from_secs_f64(self.settings.cluster.workers.cancel_s / 4.0);
         let assumed_confirmed_at =
             self.started_at.checked_sub(assumed_age).unwrap_or(self.started_at);
-        let known_until = self.cancellations_known_until().unwrap_or(assumed_confirmed_at);
+        let known_until =
+            self.peers.cancellations_known_until(Instant::now()).unwrap_or(assumed_confirmed_at);
         for id in ended_jobs(changes).filter(|id| watch_cache.jobs.contains_key(*id)) {
             confirmed_since.entry(id.clone()).or_insert(known_until);
         }
--- a/src/node/submission.rs
+++ b/src/node/submission.rs
@@ -75,7 +75,9 @@
     async fn known_submission(&self, id: &str) -> Result<Option<UserReply>, Unavailable> {
         let known = lock(&self.watch_cache).status(id);
         match known {
-            Some(status) if is_final(&status) => Ok(Some(UserReply::Known(status))),
+            Some(status) if is_final(&status) => {
+                self.confirmed(UserReply::Known(status)).await.map(Some)
+            }
             Some(_) => self.status(id).await.map(Some),
             None => Ok(None),
         }
@@ -94,7 +96,7 @@
     async fn reject(&self, id: &str, rejection: UserReply) -> Result<UserReply, Unavailable> {
         self.refresh().await?;
         let known = lock(&self.watch_cache).status(id);
-        Ok(known.map_or(rejection, UserReply::Known))
+        self.confirmed(known.map_or(rejection, UserReply::Known)).await
     }
 
     /// Writes the record of a job. The write is conditioned on the absence of the record, so
@@ -168,7 +170,7 @@
         let cancelled = lock(&self.watch_cache).status(&spec.id).filter(is_final);
         let state = cancelled.map_or(JobState::Pending, |status| status.state);
         let id = spec.id.clone();
-        Ok(UserReply::Created(JobStatus { id, state, done: 0, running: 0 }))
+        self.confirmed(UserReply::Created(JobStatus { id, state, done: 0, running: 0 })).await
     }
 
     /// The reply that rejects a job for its dependencies, if one of them was never accepted
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -1,6 +1,7 @@
 //! Users' queries and cancellations.
 
-use tracing::info;
+use tokio::time::{Instant, timeout_at};
+use tracing::{debug, info};
 
 use super::instance::Node;
 use crate::{
@@ -23,15 +24,46 @@
         }
         let known = lock(&self.watch_cache).status(id);
         if let Some(status) = known.filter(is_final) {
-            return Ok(UserReply::Known(status));
+            return self.confirmed(UserReply::Known(status)).await;
         }
         self.refresh().await?;
-        let watch_cache = lock(&self.watch_cache);
-        match watch_cache.status(id) {
-            Some(status) => Ok(UserReply::Known(status)),
-            None if watch_cache.unreadable_jobs.contains(id) => Err(Unavailable::UnreadableRecord),
-            None => Ok(UserReply::Unknown),
+        let reply = {
+            let watch_cache = lock(&self.watch_cache);
+            match watch_cache.status(id) {
+                Some(status) => UserReply::Known(status),
+                None if watch_cache.unreadable_jobs.contains(id) => {
+                    return Err(Unavailable::UnreadableRecord);
+                }
+                None => UserReply::Unknown,
+            }
+        };
+        self.confirmed(reply).await
+    }
+
+    /// Returns a reply once it may be given to a user. A reply that calls a job cancelled waits
+    /// for the acknowledgements of other controllers: if this process crashed after the reply,
+    /// nobody else might know which leases must not be renewed.
+    ///
+    /// # Errors
+    /// The other controllers did not acknowledge the cancellation in time.
+    pub(super) async fn confirmed(&self, reply: UserReply) -> Result<UserReply, Unavailable> {
+        let (UserReply::Known(status) | UserReply::Created(status)) = &reply else {
+            return Ok(reply);
+        };
+        let needs_acknowledgement = status.state == JobState::Cancelled
+            && !lock(&self.watch_cache).has_no_tasks(&status.id);
+        if !needs_acknowledgement || self.peers.may_confirm(&status.id) {
+            return Ok(reply);
+        }
+        let deadline = Instant::now() + self.settings.state_timeout();
+        let mut acknowledgements = self.peers.request_acknowledgements();
+        while let Ok(Ok(())) = timeout_at(deadline, acknowledgements.changed()).await {
+            if self.peers.may_confirm(&status.id) {
+                return Ok(reply);
+            }
         }
+        debug!(job = %status.id, "cancellation not confirmed: other controllers have not acknowledged it");
+        Err(Unavailable::Replication)
     }
 
     /// Cancels a job, unless the job has ended already. The reply has its final state.
@@ -50,8 +82,8 @@
             Ok(revision) => {
                 info!(job = id, "job cancelled");
                 self.apply_committed(&writes, revision);
-                let known = lock(&self.watch_cache).status(id);
-                known.map(UserReply::Known).ok_or(Unavailable::State)
+                let known = lock(&self.watch_cache).status(id).ok_or(Unavailable::State)?;
+                self.confirmed(UserReply::Known(known)).await
             }
             Err(StateError::Refused(_)) => Err(Unavailable::State),
             // The job may have ended for another reason, or this write may still be carried
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -118,14 +118,17 @@
     }
 
     /// Renews a worker's lease as a follower while no leader can be elected, as described in
-    /// `lease_renewal`. None if this node may not renew the lease now.
+    /// `lease_renewal`. None if this node may not renew the lease now: among other reasons, if
+    /// tasks of cancelled jobs that this node doesn't know as cancelled could run for longer than
+    /// `cancel_s`. A process that has just started knows nothing until it has read the records or
+    /// another controller has told it.
     fn renew_as_follower(
         &self,
         heartbeat: &WorkerHeartbeat,
         now: Instant,
     ) -> Option<HeartbeatReply> {
         let may_renew = !self.state_service_reachable()
-            && now < self.follower_renewal_deadline()
+            && self.knows_cancellations(now, self.settings.renewal_window())
             && heartbeat.token > 0
             && !self.is_leader()
             && self.peers.may_renew(now);
@@ -134,23 +137,26 @@
             return None;
         }
         let probe_interval = self.settings.worker_lease() / 2;
-        if !self.follower_renewals.admit_renewal(&heartbeat.machine, now, probe_interval) {
-            return None;
-        }
+        // Without a raised token the worker's incarnation must end before a late command could
+        // start a task of a job that was cancelled after this node's latest read.
+        let window = self.settings.renewal_window();
+        let may_keep_token = self.peers.last_read_at().is_some_and(|at| now < at + window);
+        let token = self.follower_renewals.admit_renewal(
+            heartbeat,
+            self.last_known_token(),
+            may_keep_token,
+            now,
+            probe_interval,
+        )?;
         let commands = self.stop_cancelled_tasks(heartbeat);
-        Some(HeartbeatReply::Commands { token: heartbeat.token, commands })
+        Some(HeartbeatReply::Commands { token, commands })
     }
 
-    /// Until when this node may renew leases as a follower. After that, tasks of cancelled
-    /// jobs that this node doesn't know as cancelled could run for longer than `cancel_s`.
-    fn follower_renewal_deadline(&self) -> Instant {
-        let limit = self.settings.renewal_window();
-        match self.peers.last_read_at() {
-            Some(at) => at + limit,
-            // Cancellations from before the start of this process are unknown to it. Half of
-            // the limit is allowed for their age.
-            None => self.started_at + limit / 2,
-        }
+    /// The last fencing token of the latest term that this node knows of, by the records or by the
+    /// heartbeats of other controllers, which pass on what they were told.
+    pub(super) fn last_known_token(&self) -> u64 {
+        let recorded = lock(&self.watch_cache).token.value;
+        recorded.max(self.peers.highest_reported_token())
     }
 
     /// Commands that stop a worker's tasks of jobs that are known to be cancelled. Stopping
@@ -184,14 +190,7 @@
     /// Whether every cancellation that may have been confirmed to a user more than `limit`
     /// ago is known here.
     pub(super) fn knows_cancellations(&self, now: Instant, limit: Duration) -> bool {
-        let known_until = self.cancellations_known_until();
-        self.settings.members.is_empty() || known_until.is_some_and(|at| now < at + limit)
-    }
-
-    /// The time up to which every cancellation that any controller may have confirmed to a
-    /// user is known here.
-    pub(super) fn cancellations_known_until(&self) -> Option<Instant> {
-        self.peers.cancellations_known_until(self.other_members())
+        self.peers.cancellations_known_until(now).is_some_and(|at| now < at + limit)
     }
 
     /// Processes the outcome of direct commands.
--- a/src/peers/frames.rs
+++ b/src/peers/frames.rs
@@ -5,7 +5,7 @@
 //! other versions. So a new field never extends a struct on the wire. It gets a section
 //! of its own, which controllers that do not know the section skip.
 
-use crate::protocol::{ControllerHeartbeat, Features, WorkerContact};
+use crate::protocol::{CancellationSync, ControllerHeartbeat, Features, WorkerContact};
 
 /// The frame length in bytes that every version accepts. A heartbeat takes a few dozen
 /// bytes, plus a few dozen for each cancellation in it, so a longer frame does not come
@@ -50,6 +50,7 @@
 pub(super) const FEATURES_SECTION: u8 = 3;
 const FRAME_LIMIT_SECTION: u8 = 4;
 pub(super) const WORKER_CONTACT_SECTION: u8 = 5;
+pub(super) const CANCELLATION_SYNC_SECTION: u8 = 6;
 
 /// The features that this version supports.
 pub const SUPPORTED_FEATURES: Features = Features { small_pages: true };
@@ -66,22 +67,32 @@
     pub frame_limit: usize,
     /// Whether the sender, if it leads, receives worker heartbeats.
     pub worker_contact: WorkerContact,
+    /// The sender's part in the replication of cancellations. None from versions without
+    /// this section.
+    pub cancellation_sync: Option<CancellationSync>,
 }
 
 impl Message {
     /// Returns a message of this version with a heartbeat. `frame_limit`: the longest
     /// frame that the sender accepts, in bytes. The worker contact is set to the
-    /// default: not lost.
+    /// default, not lost, and there is no cancellation sync.
     pub fn new(heartbeat: ControllerHeartbeat, frame_limit: usize) -> Self {
         let worker_contact = WorkerContact::default();
-        Self { heartbeat, features: SUPPORTED_FEATURES, frame_limit, worker_contact }
+        Self {
+            heartbeat,
+            features: SUPPORTED_FEATURES,
+            frame_limit,
+            worker_contact,
+            cancellation_sync: None,
+        }
     }
 }
 
 /// Encodes a message as a frame. The frame's outer format, a list of sections, never
 /// changes.
 pub fn encode(message: Message) -> Vec<u8> {
-    let Message { mut heartbeat, features, frame_limit, worker_contact } = message;
+    let Message { mut heartbeat, features, frame_limit, worker_contact, cancellation_sync } =
+        message;
     let cancellations = heartbeat.cancellations.take();
     let mut sections = vec![Section::new(HEARTBEAT_SECTION, &heartbeat)];
     sections.extend(cancellations.map(|notice| Section::new(CANCELLATIONS_SECTION, &notice)));
@@ -92,6 +103,7 @@
     if worker_contact.lost {
         sections.push(Section::new(WORKER_CONTACT_SECTION, &worker_contact));
     }
+    sections.extend(cancellation_sync.map(|sync| Section::new(CANCELLATION_SYNC_SECTION, &sync)));
     bitcode::encode(&sections)
 }
 
@@ -108,6 +120,7 @@
         features: decode_section(&sections, FEATURES_SECTION).unwrap_or_default(),
         frame_limit: frame_limit.max(MIN_FRAME_LIMIT),
         worker_contact: decode_section(&sections, WORKER_CONTACT_SECTION).unwrap_or_default(),
+        cancellation_sync: decode_section(&sections, CANCELLATION_SYNC_SECTION),
     })
 }
 
--- a/src/peers/links.rs
+++ b/src/peers/links.rs
@@ -66,9 +66,9 @@
     /// Processes another controller's message.
     fn on_message(&self, message: Message);
 
-    /// Returns a channel that changes whenever heartbeats are to be sent immediately,
-    /// before the current interval ends.
-    fn immediate_heartbeats(&self) -> watch::Receiver<()>;
+    /// Returns a channel that changes whenever a heartbeat is to be sent to this controller
+    /// immediately, before the current interval ends. None if it is not a member.
+    fn immediate_heartbeats(&self, receiver: &str) -> Option<watch::Receiver<()>>;
 }
 
 fn codec(frame_limit: usize) -> LengthDelimitedCodec {
@@ -127,7 +127,7 @@
     stop: CancellationToken,
 ) {
     let interval = handler.link_settings().heartbeat_interval;
-    let mut immediate_heartbeats = handler.immediate_heartbeats();
+    let Some(mut immediate_heartbeats) = handler.immediate_heartbeats(&receiver) else { return };
     let send = async {
         loop {
             if let Ok(Ok(stream)) = timeout(interval, TcpStream::connect(endpoint)).await {
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -6,7 +6,8 @@
 //! - a superseded leader learns of its successor,
 //! - a controller that cannot reach the state service learns whether the others can,
 //! - a leader learns that no other controller renews workers' leases
-//!   (`lease_renewal`), and
+//!   (`lease_renewal`),
+//! - all controllers learn of cancellations and of what the others know of them, and
 //! - a leader that receives no worker heartbeats learns that the workers are alive.
 //!
 //! `frames` encodes and decodes messages, `links` sends and receives them, and
@@ -21,7 +22,7 @@
     max_cancellations_per_frame,
 };
 pub use links::{LinkSettings, MessageHandler, listen, max_links, send_heartbeats};
-pub use peer_status::Peers;
+pub use peer_status::{PeerTimings, Peers, SyncedHeartbeat};
 
 #[cfg(test)]
 mod tests;
--- a/src/peers/peer_status.rs
+++ b/src/peers/peer_status.rs
@@ -1,6 +1,12 @@
 //! The state of the other controllers, as they reported it in their messages.
 
-use std::{collections::HashMap, sync::Mutex};
+use std::{
+    collections::HashMap,
+    sync::{
+        Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+};
 
 use stonewheel_state::lock;
 use tokio::{
@@ -10,14 +16,22 @@
 
 use super::frames::MIN_FRAME_LIMIT;
 use crate::{
-    lease_renewal::{CancellationWatermarks, OutgoingHeartbeat, RenewalAbstentions},
-    protocol::{ControllerHeartbeat, Features, WorkerContact},
+    lease_renewal::{
+        CancellationReplication, KnowledgeReport, KnownCancellations, OutgoingHeartbeat, Position,
+        RenewalAbstentions, ReplicationClaim,
+    },
+    protocol::{
+        CancellationSync, ControllerHeartbeat, Features, HeartbeatId, JobId, KnownMember,
+        WorkerContact,
+    },
 };
 
 /// The state that one other controller reported. If its version does not send a section,
 /// the default remains.
 struct PeerStatus {
     latest_heartbeat: Option<ReceivedHeartbeat>,
+    /// The latest heartbeat that came with a cancellation sync.
+    latest_synced: Option<SyncedHeartbeat>,
     /// Whether the controller has ever reported that it supports small pages. Never reset.
     supports_small_pages: bool,
     /// The longest frame that the controller accepts, in bytes, according to its latest
@@ -37,6 +51,7 @@
     fn default() -> Self {
         Self {
             latest_heartbeat: None,
+            latest_synced: None,
             supports_small_pages: false,
             frame_limit: MIN_FRAME_LIMIT,
             lost_workers_at: None,
@@ -44,31 +59,73 @@
     }
 }
 
+/// A controller's heartbeat whose cancellation sync was applied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SyncedHeartbeat {
+    /// The identity of the heartbeat.
+    pub id: HeartbeatId,
+    /// The revision of the sender's watch cache.
+    pub revision: u64,
+}
+
+/// The durations for which controllers rely on each other's messages.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerTimings {
+    /// For how long a received leader heartbeat keeps a controller from renewing workers'
+    /// leases.
+    pub abstention: Duration,
+    /// For how long a controller keeps confirmations of cancellations back for another one after
+    /// its latest heartbeat.
+    pub replication_hold: Duration,
+    /// How long the acknowledgement of a cancellation may take before a controller counts as
+    /// lost.
+    pub acknowledgement_timeout: Duration,
+}
+
 /// The reported state of all other controllers, and the knowledge about workers' leases
 /// and cancellations that is derived from their heartbeats.
 pub struct Peers {
     statuses: Mutex<HashMap<String, PeerStatus>>,
     /// The abstentions from renewing workers' leases, of this controller and the others.
     abstentions: Mutex<RenewalAbstentions>,
-    /// For each other controller, the time up to which all cancellations that it may have
-    /// confirmed to users are known.
-    cancellation_watermarks: Mutex<CancellationWatermarks>,
-    /// Changed when heartbeats are to be sent immediately.
-    immediate_heartbeats: watch::Sender<()>,
+    /// For each controller, the time up to which all cancellations that it may have confirmed to
+    /// users are known.
+    known_cancellations: Mutex<KnownCancellations>,
+    /// Which cancellations the other controllers have acknowledged.
+    replication: Mutex<CancellationReplication>,
+    /// The highest fencing token that any other controller has reported.
+    highest_reported_token: AtomicU64,
+    /// Changed when another controller has acknowledged cancellations.
+    acknowledgements: watch::Sender<()>,
+    /// By other controller: changed when a heartbeat is to be sent to it immediately.
+    immediate_heartbeats: HashMap<String, watch::Sender<()>>,
 }
 
 impl Peers {
-    /// Returns a table without any reports. `members`: the names of the other
-    /// controllers. `abstention`: for how long a received leader heartbeat keeps this
-    /// controller from renewing workers' leases. `incarnation`: the incarnation of this
-    /// process.
-    pub fn new(members: Vec<String>, abstention: Duration, incarnation: u64) -> Self {
-        let abstentions = RenewalAbstentions::new(members, incarnation, abstention, Instant::now());
+    /// Returns a table without any reports. `own_member`, `members`: the names of this
+    /// controller and of the others. `incarnation`: the incarnation of this process.
+    pub fn new(
+        own_member: &str,
+        members: Vec<String>,
+        timings: PeerTimings,
+        incarnation: u64,
+    ) -> Self {
+        let now = Instant::now();
+        let PeerTimings { abstention, replication_hold, acknowledgement_timeout } = timings;
+        let known_cancellations =
+            KnownCancellations::new(own_member, &members, replication_hold, now);
+        let replication =
+            CancellationReplication::new(&members, replication_hold, acknowledgement_timeout, now);
+        let immediate_heartbeats =
+            members.iter().map(|member| (member.clone(), watch::Sender::new(()))).collect();
         Self {
             statuses: Mutex::default(),
-            abstentions: Mutex::new(abstentions),
-            cancellation_watermarks: Mutex::default(),
-            immediate_heartbeats: watch::Sender::new(()),
+            abstentions: Mutex::new(RenewalAbstentions::new(members, incarnation, abstention, now)),
+            known_cancellations: Mutex::new(known_cancellations),
+            replication: Mutex::new(replication),
+            highest_reported_token: AtomicU64::new(0),
+            acknowledgements: watch::Sender::new(()),
+            immediate_heartbeats,
         }
     }
 
@@ -98,27 +155,127 @@
     /// Records a successful read of the state service that was requested at
     /// `requested_at`.
     pub fn record_read(&self, requested_at: Instant) {
-        lock(&self.cancellation_watermarks).record_read(requested_at);
+        lock(&self.known_cancellations).record_read(requested_at);
     }
 
     /// Returns when the latest successful read of the state service was requested.
     pub fn last_read_at(&self) -> Option<Instant> {
-        lock(&self.cancellation_watermarks).last_read_at()
+        lock(&self.known_cancellations).last_read_at()
+    }
+
+    /// Returns the time up to which every cancellation that any controller may have confirmed to
+    /// users is known.
+    pub fn cancellations_known_until(&self, now: Instant) -> Option<Instant> {
+        lock(&self.known_cancellations).known_until(now)
+    }
+
+    /// Returns what this controller knows about the cancellations that each controller confirmed.
+    pub fn known_cancellations(&self, now: Instant) -> Vec<KnownMember> {
+        lock(&self.known_cancellations).report(now)
+    }
+
+    /// Records that this process learned of a cancellation.
+    pub fn record_cancellation(&self, id: &JobId) {
+        lock(&self.replication).record_cancellation(id, Instant::now());
+    }
+
+    /// Records that this process learned of cancellations while it reads all records.
+    pub fn record_untracked_cancellations(&self) {
+        lock(&self.replication).record_untracked_cancellations();
+    }
+
+    /// Whether a cancellation may be confirmed to a user now: other controllers have
+    /// acknowledged it, or this one has lost touch with them. If so, it counts as confirmed.
+    pub fn may_confirm(&self, id: &str) -> bool {
+        lock(&self.replication).may_confirm(id, Instant::now())
+    }
+
+    /// Asks the other controllers to acknowledge all cancellations immediately. Returns a channel
+    /// that changes whenever one of them does.
+    pub fn request_acknowledgements(&self) -> watch::Receiver<()> {
+        let acknowledgements = self.acknowledgements.subscribe();
+        lock(&self.replication).request_acknowledgements();
+        self.request_immediate_heartbeats();
+        acknowledgements
+    }
+
+    /// Returns the latest cancellation that this process knows. To be called before the notice
+    /// of a message is composed, which then has at least the cancellations up to there.
+    pub fn replication_position(&self) -> Position {
+        lock(&self.replication).position()
     }
 
-    /// Returns the time up to which every cancellation that any of `members` may have
-    /// confirmed to users is known.
-    pub fn cancellations_known_until<'a>(
+    /// Records that a message is sent whose notice has all cancellations up to `position` that
+    /// the receiver might not know. `receiver_incarnation`: the receiving process from whose
+    /// revision on it lists them, if not all.
+    pub fn record_sent_notice(
         &self,
-        members: impl Iterator<Item = &'a str>,
-    ) -> Option<Instant> {
-        lock(&self.cancellation_watermarks).known_until(members)
+        id: HeartbeatId,
+        position: Position,
+        receiver_incarnation: Option<u64>,
+    ) {
+        lock(&self.replication).record_sent(
+            id.sequence,
+            position,
+            receiver_incarnation,
+            Instant::now(),
+        );
+    }
+
+    /// Returns what to tell a member about this controller's confirmations in a message that is
+    /// sent now. None if there is no such member.
+    pub fn replication_claim(&self, receiver: &str, now: Instant) -> Option<ReplicationClaim> {
+        lock(&self.replication).claim(receiver, now)
+    }
+
+    /// Returns the member's latest heartbeat whose cancellation sync was applied.
+    pub fn latest_synced(&self, member: &str) -> Option<SyncedHeartbeat> {
+        lock(&self.statuses).get(member).and_then(|status| status.latest_synced)
+    }
+
+    /// Records the cancellation sync of a member's message. `revision`: the revision of this
+    /// controller's watch cache, after the notice was applied. `synced`: the heartbeat of the
+    /// message.
+    pub fn record_sync(
+        &self,
+        member: &str,
+        synced: SyncedHeartbeat,
+        sync: &CancellationSync,
+        revision: u64,
+    ) {
+        let now = Instant::now();
+        let received =
+            sync.received.filter(|id| id.incarnation == lock(&self.abstentions).incarnation());
+        let acknowledged_sent_at = received.and_then(|id| lock(&self.abstentions).sent_at(id));
+        if let Some(acknowledged_sent_at) = acknowledged_sent_at {
+            lock(&self.known_cancellations).record_report(&KnowledgeReport {
+                sender: member,
+                sync,
+                is_complete: sync.notice.complete && sync.notice.since <= revision,
+                acknowledged_sent_at,
+                received_at: now,
+            });
+        }
+        let sequence = received.map(|id| id.sequence);
+        lock(&self.replication).record_heartbeat(member, synced.id, sequence, now);
+        self.update(member, |status| status.latest_synced = Some(synced));
+        self.acknowledgements.send_replace(());
+        if sync.reply_requested {
+            self.request_immediate_heartbeat(member);
+        }
+    }
+
+    /// Records that a message of a member came without a cancellation sync.
+    pub fn record_missing_sync(&self, member: &str) {
+        lock(&self.replication).record_older_version(member);
+        self.acknowledgements.send_replace(());
     }
 
     /// Records a heartbeat. `revision`: the revision of this controller's watch cache,
     /// after the heartbeat's cancellations were applied.
     pub fn record_heartbeat(&self, heartbeat: ControllerHeartbeat, revision: u64) {
         let received_at = Instant::now();
+        self.highest_reported_token.fetch_max(heartbeat.token, Ordering::Relaxed);
         let leader_revision = heartbeat.leads.then_some(heartbeat.revision);
         let acknowledged_sent_at = lock(&self.abstentions).receive(
             &heartbeat.member,
@@ -130,7 +287,7 @@
         let notice = heartbeat.cancellations.as_ref();
         let is_complete = notice.is_some_and(|notice| notice.complete && notice.since <= revision);
         if let Some(sent_at) = acknowledged_sent_at.filter(|_| is_complete) {
-            lock(&self.cancellation_watermarks).record_complete_notice(&heartbeat.member, sent_at);
+            lock(&self.known_cancellations).record_complete_notice(&heartbeat.member, sent_at);
         }
         let member = heartbeat.member.clone();
         self.update(&member, |status| {
@@ -172,12 +329,22 @@
 
     /// Requests that a heartbeat is sent to every member immediately.
     pub fn request_immediate_heartbeats(&self) {
-        self.immediate_heartbeats.send_replace(());
+        for sender in self.immediate_heartbeats.values() {
+            sender.send_replace(());
+        }
     }
 
-    /// Returns a channel that changes whenever heartbeats are to be sent immediately.
-    pub fn immediate_heartbeats(&self) -> watch::Receiver<()> {
-        self.immediate_heartbeats.subscribe()
+    /// Requests that a heartbeat is sent to one member immediately.
+    fn request_immediate_heartbeat(&self, member: &str) {
+        if let Some(sender) = self.immediate_heartbeats.get(member) {
+            sender.send_replace(());
+        }
+    }
+
+    /// Returns a channel that changes whenever a heartbeat is to be sent to the member
+    /// immediately, or none if there is no such member.
+    pub fn immediate_heartbeats(&self, member: &str) -> Option<watch::Receiver<()>> {
+        self.immediate_heartbeats.get(member).map(watch::Sender::subscribe)
     }
 
     /// Returns the longest frame that a member is known to accept, in bytes:
@@ -194,6 +361,11 @@
             .all(|member| statuses.get(member).is_some_and(|status| status.supports_small_pages))
     }
 
+    /// Returns the highest fencing token that any other controller has reported, or 0.
+    pub fn highest_reported_token(&self) -> u64 {
+        self.highest_reported_token.load(Ordering::Relaxed)
+    }
+
     /// Whether this process has received heartbeats of a member, but none within the last
     /// `silence`.
     pub fn fell_silent(&self, member: &str, silence: Duration) -> bool {
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -29,6 +29,15 @@
     }
 }
 
+fn peers_without_reports() -> Peers {
+    let timings = PeerTimings {
+        abstention: Duration::from_secs(3),
+        replication_hold: Duration::from_secs(7),
+        acknowledgement_timeout: Duration::from_secs(3),
+    };
+    Peers::new("m-0", Vec::new(), timings, 1)
+}
+
 fn sections(frame: &[u8]) -> Vec<(u8, Vec<u8>)> {
     bitcode::decode(frame).expect("sections")
 }
@@ -76,7 +85,7 @@
 
 #[test]
 fn frame_limit_follows_the_latest_message_of_a_member() {
-    let peers = Peers::new(Vec::new(), Duration::from_secs(3), 1);
+    let peers = peers_without_reports();
     assert_eq!(peers.frame_limit("m-1"), MIN_FRAME_LIMIT, "no message of the member has arrived");
     let limit = frame_limit_for(4_400);
     let read = decode(&encode(Message::new(heartbeat(), limit))).expect("a message");
@@ -115,7 +124,7 @@
 #[test]
 fn small_pages_require_a_report_of_support_from_every_member() {
     let members = ["m-1", "m-2"];
-    let peers = Peers::new(Vec::new(), Duration::from_secs(3), 1);
+    let peers = peers_without_reports();
     peers.record_features("m-1", SUPPORTED_FEATURES);
     peers.record_features("m-2", Features::default());
     assert!(!peers.all_support_small_pages(members));
@@ -125,7 +134,7 @@
 
 #[test]
 fn lost_workers_are_reported_until_contact_is_restored() {
-    let peers = Peers::new(Vec::new(), Duration::from_secs(3), 1);
+    let peers = peers_without_reports();
     let within = Duration::from_secs(3);
     for lost in [true, false] {
         let message = Message {
--- a/src/replies.rs
+++ b/src/replies.rs
@@ -10,6 +10,9 @@
     /// The state service did not answer or refused the request.
     #[error("the state service can't be reached")]
     State,
+    /// The other controllers have not yet acknowledged the cancellation of the job.
+    #[error("the cancellation is not yet known to other controllers")]
+    Replication,
     /// No controller has stored the available machine types yet.
     #[error("the machine types are not known yet")]
     MachineTypes,
--- a/src/settings/derived.rs
+++ b/src/settings/derived.rs
@@ -74,6 +74,21 @@
         self.leader_lease() * 3 / 4
     }
 
+    /// Returns for how long a controller keeps the confirmation of a cancellation back for a
+    /// controller that it has lost touch with. A controller that crashes is usually back within
+    /// half of a worker's lease, and the others must still know then all that it had confirmed. A
+    /// user's requests are retried for several times as long.
+    pub fn replication_hold(&self) -> Duration {
+        self.leader_lease() * 2
+    }
+
+    /// Returns how long a controller may take to acknowledge a cancellation before the others
+    /// stop promising it to wait for its acknowledgements. Heartbeats are sent four times as
+    /// often.
+    pub fn acknowledgement_timeout(&self) -> Duration {
+        self.leader_lease()
+    }
+
     /// Returns for how long worker leases may be renewed after the last instant up to which all
     /// cancellations are known. A job cancelled right after that instant must have stopped
     /// within `cancel_s`, at the latest when its worker's lease expires.
--- a/src/store/queries.rs
+++ b/src/store/queries.rs
@@ -12,15 +12,61 @@
     /// after `revision`, the oldest `limit` of them.
     pub fn cancelled_since(&self, revision: u64, limit: usize) -> CancellationNotice {
         let recent = self.recent_cancellations.since(revision, limit);
-        let cancelled_job = |cancellation: &Cancellation| CancelledJob {
-            id: cancellation.job.to_string(),
-            version: cancellation.revision,
-            done: self.ended_jobs.get(&cancellation.job).map_or(0, |end| end.done),
-        };
+        let cancelled_job = |c: &Cancellation| self.cancelled_job(&c.job, c.revision);
         let jobs = recent.cancellations.into_iter().map(cancelled_job).collect();
         CancellationNotice { since: revision, complete: recent.complete, jobs }
     }
 
+    /// Returns the notice for another controller with the jobs that were cancelled after
+    /// `revision` and may still have tasks, at most `limit` of them. Jobs whose records were
+    /// deleted have none, so the notice is short however many jobs were cancelled before.
+    pub fn unfinished_cancellations_since(
+        &self,
+        revision: u64,
+        limit: usize,
+    ) -> CancellationNotice {
+        let recent = &self.recent_cancellations;
+        let mut jobs: Vec<CancelledJob> = recent
+            .after(revision)
+            .filter(|cancellation| self.may_have_tasks(cancellation))
+            .take(limit + 1)
+            .map(|cancellation| self.cancelled_job(&cancellation.job, cancellation.revision))
+            .collect();
+        if recent.last_dropped_revision() > revision {
+            jobs.extend(self.cancelled_jobs_with_records());
+        }
+        let complete = jobs.len() <= limit && recent.last_dropped_revision() <= self.revision;
+        jobs.truncate(limit);
+        CancellationNotice { since: revision, complete, jobs }
+    }
+
+    /// Whether a cancelled job may still have tasks. The leader deletes a job's records only once
+    /// all its tasks are gone, but this cache may lack the records of a job that another
+    /// controller told about.
+    fn may_have_tasks(&self, cancellation: &Cancellation) -> bool {
+        cancellation.revision > self.revision || self.jobs.contains_key(&cancellation.job)
+    }
+
+    /// Whether an ended job certainly has no tasks left, since its records were deleted.
+    pub fn has_no_tasks(&self, id: &str) -> bool {
+        let told_by_others = self.recent_cancellations.after(self.revision).next().is_some();
+        self.loaded && !told_by_others && !self.jobs.contains_key(id)
+    }
+
+    fn cancelled_job(&self, id: &JobId, version: u64) -> CancelledJob {
+        let done = self.ended_jobs.get(id).map_or(0, |end| end.done);
+        CancelledJob { id: id.to_string(), version, done }
+    }
+
+    /// The cancelled jobs whose records still exist. The revisions of their ends may have been
+    /// dropped, so they are given the highest that is possible.
+    fn cancelled_jobs_with_records(&self) -> impl Iterator<Item = CancelledJob> {
+        let is_cancelled = |id: &&JobId| {
+            self.ended_jobs.get(id).is_some_and(|end| end.state == JobState::Cancelled)
+        };
+        self.jobs.keys().filter(is_cancelled).map(|id| self.cancelled_job(id, self.revision))
+    }
+
     /// Returns the machines that the job's tasks are bound to, one entry per task. Pages
     /// that cannot be decoded are skipped.
     pub fn machines_of(&self, id: &str) -> Vec<MachineId> {
--- a/src/store/recent_cancellations.rs
+++ b/src/store/recent_cancellations.rs
@@ -70,10 +70,20 @@
         }
     }
 
+    /// Returns the retained cancellations after `revision`, in ascending order of revision.
+    pub fn after(&self, revision: u64) -> impl Iterator<Item = &Cancellation> {
+        let first = Cancellation { revision: revision.saturating_add(1), job: JobId::from("") };
+        self.retained.range(first..)
+    }
+
+    /// Returns the highest revision of any cancellation that was dropped, or 0.
+    pub fn last_dropped_revision(&self) -> u64 {
+        self.last_dropped_revision
+    }
+
     /// Returns the retained cancellations after `revision`, the oldest `limit` of them.
     pub fn since(&self, revision: u64, limit: usize) -> CancellationsSince<'_> {
-        let first = Cancellation { revision: revision.saturating_add(1), job: JobId::from("") };
-        let mut later = self.retained.range(first..);
+        let mut later = self.after(revision);
         let cancellations = later.by_ref().take(limit).collect();
         let complete = later.next().is_none() && revision >= self.last_dropped_revision;
         CancellationsSince { cancellations, complete }
--- a/tests/common/network.rs
+++ b/tests/common/network.rs
@@ -1,63 +1,109 @@
 //! Links between the controllers, and network faults.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use stonewheel::{
     node::Node,
     peers,
     protocol::{Features, MachineId},
 };
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
+};
 use tokio_util::sync::CancellationToken;
 
 use super::{LateCommands, deployment::TestDeployment, lock};
 
-/// Waits until the next heartbeats are due after `interval`, or until a node requests immediate
-/// heartbeats.
-pub(super) async fn wait_for_heartbeats(
-    nodes: &[Option<(Arc<Node>, CancellationToken)>],
-    interval: Duration,
-) {
-    let urgent = nodes.iter().flatten().map(|(node, _)| {
-        let mut urgent = node.peers.immediate_heartbeats();
-        Box::pin(async move { urgent.changed().await })
-    });
-    let urgent: Vec<_> = urgent.collect();
-    if urgent.is_empty() {
-        return sleep(interval).await;
-    }
-    let _ = tokio::time::timeout(interval, futures_util::future::select_all(urgent)).await;
+/// The interval between two heartbeats on a link.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(900);
+
+/// The link from one process of a controller to another controller.
+struct Link {
+    incarnation: u64,
+    /// Changes when a heartbeat is to be sent immediately.
+    immediate: watch::Receiver<()>,
+}
+
+/// The links between the controllers, by the indices of sender and receiver.
+type Links = BTreeMap<(usize, usize), Link>;
+
+type Nodes = [Option<(Arc<Node>, CancellationToken)>];
+
+/// Opens the links of new processes and closes those of ended ones.
+fn update_links(links: &mut Links, nodes: &Nodes) {
+    let incarnation = |index: usize| nodes[index].as_ref().map(|(node, _)| node.incarnation);
+    links.retain(|(from, _), link| incarnation(*from) == Some(link.incarnation));
+    for (from, sender) in nodes.iter().enumerate() {
+        let Some((sender, _)) = sender else { continue };
+        for to in (0..nodes.len()).filter(|to| *to != from) {
+            links.entry((from, to)).or_insert_with(|| {
+                let immediate = sender.peers.immediate_heartbeats(&format!("m-{to}"));
+                let immediate = immediate.expect("a member");
+                Link { incarnation: sender.incarnation, immediate }
+            });
+        }
+    }
+}
+
+/// Waits until `deadline`, or until a heartbeat is to be sent immediately. Returns the links on
+/// which that is so, or all after the deadline.
+async fn due_links(links: &mut Links, deadline: Instant) -> Vec<(usize, usize)> {
+    let all = || -> Vec<(usize, usize)> { links.keys().copied().collect() };
+    let all = all();
+    if links.is_empty() {
+        tokio::time::sleep_until(deadline).await;
+        return all;
+    }
+    let signals = links.values_mut().map(|link| Box::pin(link.immediate.changed()));
+    let signalled = futures_util::future::select_all(signals);
+    match tokio::time::timeout_at(deadline, signalled).await {
+        Ok((_, index, _)) => all.into_iter().skip(index).take(1).collect(),
+        Err(_) => all,
+    }
 }
 
 impl TestDeployment {
     /// Exchanges heartbeats between the controllers over their links.
     pub(super) async fn run_links(self) {
+        let mut links = Links::new();
+        let mut deadline = Instant::now() + HEARTBEAT_INTERVAL;
         loop {
-            let (nodes, disconnected) = {
-                let inner = lock(&self.inner);
-                (inner.nodes.clone(), inner.disconnected.clone())
-            };
-            wait_for_heartbeats(&nodes, Duration::from_millis(900)).await;
-            for (from, sender) in nodes.iter().enumerate() {
-                for (to, receiver) in nodes.iter().enumerate() {
-                    let cut = disconnected.contains(&from) || disconnected.contains(&to);
-                    if let (Some((sender, _)), Some((receiver, _))) = (sender, receiver)
-                        && from != to
-                        && !cut
-                    {
-                        // Encodes and decodes the message, as a real link does.
-                        let frame = peers::encode(sender.message(&format!("m-{to}")));
-                        let mut message = peers::decode(&frame).expect("a heartbeat");
-                        if self.is_previous_version(from) {
-                            message.features = Features::default();
-                        }
-                        receiver.on_message(message);
-                    }
-                }
+            update_links(&mut links, &lock(&self.inner).nodes);
+            let due = due_links(&mut links, deadline).await;
+            if Instant::now() >= deadline {
+                deadline = Instant::now() + HEARTBEAT_INTERVAL;
+            }
+            for (from, to) in due {
+                self.send_heartbeat(from, to);
             }
         }
     }
 
+    /// Sends a heartbeat, unless one of the processes has ended or the link is cut.
+    fn send_heartbeat(&self, from: usize, to: usize) {
+        let (sender, receiver, is_cut) = {
+            let inner = lock(&self.inner);
+            let is_cut = inner.disconnected.contains(&from) || inner.disconnected.contains(&to);
+            (inner.nodes[from].clone(), inner.nodes[to].clone(), is_cut)
+        };
+        let (Some((sender, _)), Some((receiver, _))) = (sender, receiver) else { return };
+        if is_cut {
+            return;
+        }
+        // Encodes and decodes the message, as a real link does.
+        let frame = peers::encode(sender.message(&format!("m-{to}")));
+        let mut message = peers::decode(&frame).expect("a heartbeat");
+        if self.is_previous_version(from) {
+            message.features = Features::default();
+            message.cancellation_sync = None;
+        }
+        if self.is_previous_version(to) {
+            message.cancellation_sync = None;
+        }
+        receiver.on_message(message);
+    }
+
     /// Makes a node announce no features, as the previous version does, or all of them again.
     pub fn set_previous_version(&self, node: usize, old: bool) {
         let mut inner = lock(&self.inner);
--- a/tests/deployment/failover.rs
+++ b/tests/deployment/failover.rs
@@ -58,15 +58,40 @@
     assert!(deployment.violations().is_empty());
 }
 
-#[tokio::test(start_paused = true)]
-async fn all_controllers_restart_during_an_outage_and_no_task_is_lost() {
-    // No leader can be elected during an outage, and worker leases are shorter than the
-    // outage.
+/// Starts a service of four tasks on two machines, and then an outage.
+async fn outage_with_a_service(id: &str) -> TestDeployment {
     let deployment = TestDeployment::new(2).await;
-    let body = job("j-000011", json!({"Shape": "service", "Spokes": 4}));
+    let body = job(id, json!({"Shape": "service", "Spokes": 4}));
     assert!(created(&deployment.node(0).submit(&body).await));
     deployment.until("it runs", || deployment.starts() == 4).await;
     deployment.state.set_outage(true);
+    deployment
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_controllers_restart_twice_during_an_outage_and_no_task_is_lost() {
+    // No leader can be elected during an outage, and worker leases are shorter than the
+    // outage. What a started process can't know, the others tell it.
+    let deployment = outage_with_a_service("j-000011").await;
+    seconds(6).await;
+    for node in [0, 1, 2, 1, 0, 2] {
+        deployment.kill_node(node);
+        seconds(4).await;
+        deployment.start_node(node);
+        seconds(5).await;
+    }
+    deployment.state.set_outage(false);
+    seconds(20).await;
+    assert!(deployment.leader().is_some());
+    assert_eq!(deployment.starts(), 4, "nothing was restarted");
+    assert!(deployment.violations().is_empty(), "{:?}", deployment.violations());
+}
+
+#[tokio::test(start_paused = true)]
+async fn controllers_that_all_restart_at_once_during_an_outage_renew_no_leases() {
+    // No controller is left that could tell which cancellations were confirmed, however long
+    // ago. So the leases expire, and each task starts again once, after the outage.
+    let deployment = outage_with_a_service("j-000011").await;
     seconds(6).await;
     for node in 0..3 {
         deployment.kill_node(node);
@@ -76,10 +101,12 @@
         deployment.start_node(node);
     }
     seconds(8).await;
+    assert!(deployment.machines_of("j-000011").is_empty(), "the leases have expired");
     deployment.state.set_outage(false);
+    deployment.until("it runs again", || deployment.starts() == 8).await;
     seconds(20).await;
     assert!(deployment.leader().is_some());
-    assert_eq!(deployment.starts(), 4, "nothing was restarted");
+    assert_eq!(deployment.starts(), 8, "each task was restarted once");
     assert!(deployment.violations().is_empty(), "{:?}", deployment.violations());
 }
 
--- a/tests/deployment/workers.rs
+++ b/tests/deployment/workers.rs
@@ -58,25 +58,50 @@
     assert!(deployment.violations().is_empty());
 }
 
-#[tokio::test(start_paused = true)]
-async fn lease_renewal_by_followers_ends_before_a_cancelled_task_could_outlive_its_limit() {
+/// Starts a service on one machine. Returns the deployment and the leader.
+async fn service_on_one_machine(id: &str) -> (TestDeployment, usize) {
     let deployment = TestDeployment::new(1).await;
-    let body = job("j-000012", json!({"Shape": "service", "Spokes": 1}));
+    let body = job(id, json!({"Shape": "service", "Spokes": 1}));
     assert!(created(&deployment.node(0).submit(&body).await));
     deployment.until("it runs", || deployment.starts() == 1).await;
     let leader = deployment.leader().expect("a leader");
-    let machine = deployment.machines_of("j-000012").pop().expect("its machine");
-    // The leader is killed before its stop command arrives.
-    deployment.partition(&machine, &[leader]);
-    assert!(deployment.node(leader).cancel("j-000012").await.is_ok());
+    (deployment, leader)
+}
+
+#[tokio::test(start_paused = true)]
+async fn lease_renewal_by_followers_ends_before_a_cancelled_task_could_outlive_its_limit() {
+    let (deployment, leader) = service_on_one_machine("j-000012").await;
+    // A controller has lost touch with the others for so long that it may confirm a cancellation
+    // that they don't know. The leader is killed too.
+    let other = (leader + 1) % 3;
+    deployment.disconnect(other);
+    seconds(9).await;
+    assert_eq!(deployment.leader(), Some(leader));
+    deployment.state.begin_outage_after_next_commit();
+    let reply = deployment.node(other).cancel("j-000012").await;
+    assert!(reply.is_ok(), "{reply:?}");
+    deployment.kill_node(other);
     deployment.kill_node(leader);
-    deployment.state.set_outage(true);
     seconds(20).await;
     assert!(!deployment.machines_of("j-000012").is_empty(), "its worker was answered");
     seconds(16).await;
     assert!(deployment.machines_of("j-000012").is_empty(), "gone within cancel_s");
 }
 
+#[tokio::test(start_paused = true)]
+async fn followers_stop_a_task_whose_cancellation_the_leader_confirmed_before_it_was_killed() {
+    let (deployment, leader) = service_on_one_machine("j-000012").await;
+    // The leader is killed before its stop command arrives.
+    let machine = deployment.machines_of("j-000012").pop().expect("its machine");
+    deployment.partition(&machine, &[leader]);
+    deployment.state.begin_outage_after_next_commit();
+    assert!(deployment.node(leader).cancel("j-000012").await.is_ok());
+    deployment.kill_node(leader);
+    // Before the worker's lease expires.
+    seconds(8).await;
+    assert!(deployment.machines_of("j-000012").is_empty(), "a follower stopped it");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_worker_that_another_controller_answers_is_not_considered_dead() {
     // One node loses the state service and the other controllers, but not the workers, and one
--- a/tests/fault_scenarios/main.rs
+++ b/tests/fault_scenarios/main.rs
@@ -9,4 +9,5 @@
 mod leadership;
 mod machines;
 mod requests;
+mod restarts_in_outages;
 mod state_outages;
--- a/tests/late_commands/cancelled_tasks.rs
+++ b/tests/late_commands/cancelled_tasks.rs
@@ -1,7 +1,10 @@
 //! Machines that may still start a task of a cancelled job are returned to the cloud within
 //! `cancel_s` of the confirmed cancellation.
 
-use crate::common::{TestDeployment, leader_harness::LeaderHarness, seconds, state};
+use crate::common::{
+    LateCommands, TestDeployment, assert_no_violation, leader_harness::LeaderHarness, seconds,
+    state,
+};
 use crate::open_starts::{lose_response, place_one_task, take_direct_request};
 use serde_json::json;
 use std::time::Duration;
@@ -61,6 +64,36 @@
     assert_eq!(seconds_until_return(40).await, 1);
 }
 
+/// Followers keep a worker's lease, and with it its incarnation, as long as they know all confirmed
+/// cancellations. A direct start of a leader that has crashed must not take effect on that worker
+/// long after the job was cancelled.
+#[tokio::test(start_paused = true)]
+async fn late_start_of_a_crashed_leader_is_void_on_workers_that_followers_answer() {
+    let deployment = TestDeployment::new(1).await;
+    let machine = deployment.machines()[0].clone();
+    let service = json!({"Shape": "service", "Spokes": 1});
+    assert!(state(&deployment.submit(0, "j-000001", service.clone()).await).is_some());
+    deployment.until("the service runs", || deployment.starts() == 1).await;
+    seconds(10).await;
+    let leader = deployment.leader().expect("a leader");
+    let other = (leader + 1) % 3;
+    let cancel_s = 36.0;
+    deployment.set_late_commands(Some(LateCommands::new(1, 1.0, cancel_s + 10.0..cancel_s + 11.0)));
+    assert!(state(&deployment.submit(other, "j-000002", service).await).is_some());
+    deployment.until("it is placed", || !deployment.state.keys("sw/p/j-000002").is_empty()).await;
+    deployment.state.begin_outage_after_next_commit();
+    let reply = deployment.cancel(other, "j-000002").await;
+    assert_eq!(state(&reply), Some(JobState::Cancelled), "{reply:?}");
+    deployment.kill_node(leader);
+    deployment.set_late_commands(None);
+    seconds(5).await;
+    deployment.start_node(leader);
+    seconds(55).await;
+    assert_eq!(deployment.incarnation(&machine), 1, "the lease was kept");
+    assert_eq!(deployment.starts(), 1, "the late start had no effect");
+    assert_no_violation(&deployment);
+}
+
 #[tokio::test(start_paused = true)]
 async fn new_leaders_count_the_time_until_return_from_the_confirmation() {
     // The leader changes every few seconds, so that no term lasts half of cancel_s.
