--- a/src/lease_renewal/tests.rs
+++ b/src/lease_renewal/tests.rs
@@ -117,3 +117,79 @@
     let of_former_process = HeartbeatId { incarnation: 9, ..acknowledged.id };
     assert_eq!(leader.receive("b", heartbeat.id, None, Some(of_former_process), at(9)), None);
 }
+
+/// Returns the replication of a controller with the only other member `b`, which has learned of
+/// the cancellation of `j-1` and sent a complete notice with sequence number 1 one second later.
+fn replication_with_a_cancellation(now: Instant) -> CancellationReplication {
+    let mut replication =
+        CancellationReplication::new(&["b".to_owned()], HOLD, Duration::from_secs(3), now);
+    replication.record_cancellation(&"j-1".into(), now);
+    let position = replication.position();
+    replication.record_sent(1, position, None, now + Duration::from_secs(1));
+    replication
+}
+
+#[test]
+fn cancellation_is_confirmed_once_acknowledged_or_after_the_hold() {
+    let now = Instant::now();
+    let at = |s: u64| now + Duration::from_secs(s);
+    let heartbeat = HeartbeatId { incarnation: 5, sequence: 1 };
+    let mut replication = replication_with_a_cancellation(now);
+    assert!(!replication.may_confirm("j-1", at(1)), "a former process may have promised it");
+    assert!(replication.may_confirm("j-1", at(8)), "nobody can have a promise any more");
+    let claim = replication.claim("b", at(8)).expect("a member");
+    assert_eq!(claim.covered_for, Duration::ZERO, "confirmed without an acknowledgement");
+
+    let mut replication = replication_with_a_cancellation(now);
+    replication.record_heartbeat("b", heartbeat, None, now);
+    replication.record_heartbeat("b", heartbeat, Some(1), at(2));
+    assert!(replication.may_confirm("j-1", at(2)));
+    let claim = replication.claim("b", at(2)).expect("a member");
+    assert_eq!((claim.covered_for, claim.hold_promised), (at(2) - now, true));
+    replication.record_cancellation(&"j-2".into(), at(3));
+    assert!(!replication.may_confirm("j-2", at(9)), "the promise holds from the heartbeat on");
+    assert!(replication.may_confirm("j-2", at(10)));
+
+    // A controller whose version acknowledges nothing is not waited for.
+    let mut replication = replication_with_a_cancellation(now);
+    replication.record_older_version("b");
+    assert!(replication.may_confirm("j-1", at(1)));
+}
+
+#[test]
+fn acknowledgements_of_a_former_process_do_not_count() {
+    let now = Instant::now();
+    let at = |s: u64| now + Duration::from_secs(s);
+    let former = HeartbeatId { incarnation: 5, sequence: 1 };
+    let new = HeartbeatId { incarnation: 6, sequence: 1 };
+    let mut replication = replication_with_a_cancellation(now);
+    replication.record_heartbeat("b", former, None, now);
+    replication.record_heartbeat("b", former, Some(1), at(2));
+    assert!(replication.may_confirm("j-1", at(2)));
+    replication.record_heartbeat("b", new, None, at(3));
+    assert!(!replication.may_confirm("j-1", at(3)));
+    let claim = replication.claim("b", at(3)).expect("a member");
+    assert_eq!((claim.covered_for, claim.hold_promised), (Duration::ZERO, false));
+    // A heartbeat of the former process arrives after that of the new one.
+    replication.record_heartbeat("b", former, Some(1), at(4));
+    assert!(!replication.may_confirm("j-1", at(4)));
+}
+
+#[test]
+fn controller_whose_acknowledgements_fail_to_come_gets_no_further_promises() {
+    let now = Instant::now();
+    let at = |s: u64| now + Duration::from_secs(s);
+    let heartbeat = HeartbeatId { incarnation: 5, sequence: 1 };
+    let mut replication = replication_with_a_cancellation(now);
+    replication.record_heartbeat("b", heartbeat, None, now);
+    replication.record_heartbeat("b", heartbeat, Some(1), at(2));
+    replication.record_cancellation(&"j-2".into(), at(3));
+    for second in 3..12 {
+        // Its messages arrive, those to it don't.
+        replication.record_heartbeat("b", heartbeat, Some(1), at(second));
+        let claim = replication.claim("b", at(second)).expect("a member");
+        assert_eq!(claim.hold_promised, second <= 4, "{second} s");
+    }
+    assert!(!replication.may_confirm("j-2", at(11)));
+    assert!(replication.may_confirm("j-2", at(12)));
+}
