--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -420,7 +420,7 @@
             node = nodes[self.node]
             self.changed.clear()
             session, sent_at = self.session, time.monotonic()
-            answer = None
+            answer, data = None, b""
             try:
                 if connected_to != node.public:
                     if writer:
@@ -429,14 +429,20 @@
                     reader, writer = await asyncio.wait_for(
                         asyncio.open_connection(host, int(port)), 4)
                     connected_to = node.public
-                data = json.dumps(self.report()).encode()
+                data = json.dumps(self.report(), separators=(",", ":")).encode()
                 writer.write(b"POST /agent/beat HTTP/1.1\r\nHost: x\r\nContent-Type: "
                              b"application/json\r\nContent-Length: %d\r\n\r\n" % len(data) + data)
                 answer = await asyncio.wait_for(read_message(reader), 4)
             except (OSError, asyncio.TimeoutError):
                 pass
             status = int(answer[0].split(" ")[1]) if answer else 0
+            if status not in (200, 421):
+                self.world.record(f"{self.name}: report of {len(data)} bytes to {node.member}: "
+                                  f"{status or 'no answer'}")
             if status == 200:
+                if max(map(len, answer[2].splitlines())) > 64 * 1024:
+                    self.world.record(f"{self.name}: a line of {len(answer[2])} bytes from "
+                                      f"{node.member}")
                 self.take_response(json.loads(answer[2]), session, sent_at)
                 interval = self.world.workers["report_s"] * random.uniform(0.75, 1.25)
                 await asyncio.sleep(min(0.5, interval))
