--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -767,6 +767,7 @@
         self.workers = {"report_s": 1.0, "lease_s": lease_s, "gang_wait_s": 50.0,
                         "gang_peer_s": 8.0, "cancel_s": 36.0}
         self.cloud = {"rps": 8.0, "list_lag_s": 3.0}
+        self.quota = {"core_share": 0.064, "mem_mb": 40.0, "fd_limit": 500}
         self.state_limits = {"rps": 150.0, "write_rps": 60.0, "value_kb": value_kb,
                              "txn_ops": txn_ops}
         self.teams = teams or [("jade-core", 40.0, 80.0), ("lotus-ops", 40.0, 80.0)]
@@ -834,7 +835,7 @@
                       f"gpus = {gpus}", f"gpus_max = {gpus_max}"]
         for table, values in [("workers", self.workers), ("state", self.state_limits),
                               ("cloud", self.cloud),
-                              ("quota", {"core_share": 0.064, "mem_mb": 40.0, "fd_limit": 500})]:
+                              ("quota", self.quota)]:
             lines += [f"[cluster.{table}]"] + [f"{k} = {v}" for k, v in values.items()]
         return "\n".join(lines) + "\n"
 
