--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -951,6 +951,8 @@
         world = world_of()
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda *_: None)
+        # The controllers are ended also if this process is told to end.
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await world.start()
             world.record(f"trouble: {'on' if TROUBLE else 'off'}")
@@ -960,7 +962,7 @@
                 print(violation)
             world.record(f"result: {'the rule was broken' if violations else 'the rule held'}")
             return 1 if violations else 0
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
             world.record(f"the case couldn't run: {error!r}")
             print(f"the case couldn't run: {error!r}", file=sys.stderr)
             return 2
