Failing tests: copies of answered start commands start forgotten attempts

A copy of the request that arrives after the worker was told to forget the attempt starts it once more. No stand-in could deliver such a copy.

Change: faults of repeated requests, seeded, for direct commands, heartbeats, the cloud, messages between controllers, users, transactions and leases of the state service. The simulated worker now keeps each attempt by itself, obeys stop and forget commands only for the attempt that they name, and refuses a start beside another attempt, as the protocol says; before, it ignored the start of a lower attempt and so hid part of the fault.

--- a/crates/stonewheel-testing/src/faults.rs
+++ b/crates/stonewheel-testing/src/faults.rs
@@ -1,5 +1,5 @@
-//! Faults drawn from a seeded random number generator: messages that arrive late, and
-//! transactions that are executed late or lose their answer.
+//! Faults drawn from a seeded random number generator: messages that arrive late, transactions
+//! that are executed late or lose their answer, and copies of requests that were answered.
 
 use std::time::Duration;
 
@@ -69,3 +69,38 @@
         Some(if is_immediate { Duration::ZERO } else { delay })
     }
 }
+
+/// Selects the requests of one kind of which copies arrive again after the request was carried
+/// out and answered. Nobody waits for the answers to the copies.
+#[derive(Debug)]
+pub struct RepeatedDeliveries {
+    rng: StdRng,
+    share: f64,
+    seconds: std::ops::Range<f64>,
+}
+
+impl RepeatedDeliveries {
+    /// The largest number of copies of one request.
+    const MAX_COPIES: u32 = 3;
+
+    /// Creates the generator. `share`: part of the requests that is repeated, between 0 and 1.
+    /// `seconds`: range of the copies' delays, above 0; delays of each order of magnitude are
+    /// equally frequent.
+    pub fn new(seed: u64, share: f64, seconds: std::ops::Range<f64>) -> Self {
+        Self { rng: StdRng::seed_from_u64(seed), share, seconds }
+    }
+
+    /// Returns the delays of the copies of the next request.
+    pub fn draw(&mut self) -> Vec<Duration> {
+        if !self.rng.random_bool(self.share) {
+            return Vec::new();
+        }
+        let copies = self.rng.random_range(1..=Self::MAX_COPIES);
+        (0..copies).map(|_| self.delay()).collect()
+    }
+
+    fn delay(&mut self) -> Duration {
+        let magnitude = self.rng.random_range(self.seconds.start.ln()..self.seconds.end.ln());
+        Duration::from_secs_f64(magnitude.exp())
+    }
+}
--- a/crates/stonewheel-testing/src/lib.rs
+++ b/crates/stonewheel-testing/src/lib.rs
@@ -11,6 +11,6 @@
 
 pub use callers::Callers;
 pub use coordination::{spawn_coordinator, timing};
-pub use faults::{Delays, LateCommands, LateTransactions};
+pub use faults::{Delays, LateCommands, LateTransactions, RepeatedDeliveries};
 pub use members::{Members, Process};
 pub use state::{MemState, StateUsage};
--- a/crates/stonewheel-testing/src/state.rs
+++ b/crates/stonewheel-testing/src/state.rs
@@ -1,5 +1,5 @@
 //! In-memory state service with the faults of a real one: outages, refusals, lost answers,
-//! late transactions and watches that are too far behind.
+//! late transactions, copies of answered requests, and watches that are too far behind.
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
@@ -15,7 +15,7 @@
 use stonewheel_state::{StateApi, StateError};
 use tokio::time::{Instant, sleep};
 
-use crate::faults::{Delays, LateTransactions};
+use crate::faults::{Delays, LateTransactions, RepeatedDeliveries};
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -51,6 +51,8 @@
     failing_lists: Option<Delays>,
     /// Selects the transactions that are executed late or lose their answer.
     late_transactions: Option<LateTransactions>,
+    /// Selects the transactions and lease requests of which copies arrive.
+    repeated_requests: Option<RepeatedDeliveries>,
     /// Requests and writes of all clients so far.
     usage: StateUsage,
     /// End of the suspension of each suspended client; its calls wait until then.
@@ -156,6 +158,18 @@
         }
         Ok(self.revision)
     }
+
+    fn grant_lease(&mut self, ttl: Duration) -> u64 {
+        self.next_lease += 1;
+        self.leases.insert(self.next_lease, (ttl, Instant::now() + ttl));
+        self.next_lease
+    }
+
+    fn renew_lease(&mut self, lease: u64) -> Result<(), StateError> {
+        let (ttl, expires_at) = self.leases.get_mut(&lease).ok_or(StateError::LeaseExpired)?;
+        *expires_at = Instant::now() + *ttl;
+        Ok(())
+    }
 }
 
 /// An in-memory state service. Clones share one store.
@@ -227,6 +241,28 @@
         lock(&self.0).late_transactions = late;
     }
 
+    /// Selects the later transactions and lease requests of which copies arrive.
+    pub fn set_repeated_requests(&self, repeated: Option<RepeatedDeliveries>) {
+        lock(&self.0).repeated_requests = repeated;
+    }
+
+    /// Executes copies of a request that is being answered, after delays that are drawn here. An
+    /// outage refuses them.
+    fn deliver_copies(&self, execute: impl Fn(&mut Store) + Clone + Send + 'static) {
+        let delays = lock(&self.0).repeated_requests.as_mut().map(RepeatedDeliveries::draw);
+        for delay in delays.into_iter().flatten() {
+            let (state, execute) = (self.clone(), execute.clone());
+            tokio::spawn(async move {
+                sleep(delay).await;
+                let mut store = lock(&state.0);
+                store.expire();
+                if !store.outage {
+                    execute(&mut store);
+                }
+            });
+        }
+    }
+
     /// Suspends the client's process: its calls wait until `until`.
     pub fn freeze(&self, client: &str, until: Instant) {
         lock(&self.0).frozen_until.insert(client.into(), until);
@@ -373,6 +409,7 @@
         let txn = txn.clone();
         Box::pin(async move {
             self.wait_for_arrival().await;
+            let copy = txn.clone();
             let answer_lost = {
                 let mut store = self.available_store()?;
                 store.usage.writes += txn.writes.len() as u64;
@@ -400,6 +437,10 @@
                     let answers_to_lose =
                         store.answers_to_lose.entry(self.name.clone()).or_default();
                     if *answers_to_lose == 0 {
+                        drop(store);
+                        self.store.deliver_copies(move |store| {
+                            let _ = store.multi(&copy);
+                        });
                         return result;
                     }
                     *answers_to_lose -= 1;
@@ -415,21 +456,22 @@
     fn grant_lease(&self, ttl: Duration) -> BoxFuture<'_, Result<u64, StateError>> {
         Box::pin(async move {
             self.wait_for_arrival().await;
-            let mut store = self.available_store()?;
-            store.next_lease += 1;
-            let id = store.next_lease;
-            store.leases.insert(id, (ttl, Instant::now() + ttl));
-            Ok(id)
+            let lease = self.available_store()?.grant_lease(ttl);
+            self.store.deliver_copies(move |store| {
+                store.grant_lease(ttl);
+            });
+            Ok(lease)
         })
     }
 
     fn renew_lease(&self, lease: u64) -> BoxFuture<'_, Result<(), StateError>> {
         Box::pin(async move {
             self.wait_for_arrival().await;
-            let mut store = self.available_store()?;
-            let (ttl, expires_at) = store.leases.get_mut(&lease).ok_or(StateError::LeaseExpired)?;
-            *expires_at = Instant::now() + *ttl;
-            Ok(())
+            let renewed = self.available_store()?.renew_lease(lease);
+            self.store.deliver_copies(move |store| {
+                let _ = store.renew_lease(lease);
+            });
+            renewed
         })
     }
 
@@ -437,6 +479,7 @@
         Box::pin(async move {
             self.wait_for_arrival().await;
             self.available_store()?.end_lease(lease);
+            self.store.deliver_copies(move |store| store.end_lease(lease));
             Ok(())
         })
     }
--- a/tests/common/cloud.rs
+++ b/tests/common/cloud.rs
@@ -11,7 +11,7 @@
 };
 use tokio::time::sleep;
 
-use super::{deployment::TestDeployment, lock, samples::machine_type};
+use super::{deployment::TestDeployment, lock, repeated::RepeatedKind, samples::machine_type};
 
 /// Returns the address of a machine's worker, as the cloud lists it.
 pub fn address_of(machine: &str) -> SocketAddr {
@@ -44,32 +44,23 @@
     ) -> BoxFuture<'_, Result<Vec<MachineId>, CloudError>> {
         Box::pin(async move {
             sleep(Duration::from_millis(100)).await;
-            let mut inner = lock(&self.inner);
-            if let Some(names) = inner.rented.get(&rental.request) {
-                return Ok(names.clone());
-            }
-            if inner.no_capacity {
-                return Err(CloudError::NoCapacity);
-            }
-            let mut names = Vec::new();
-            for _ in 0..rental.count {
-                inner.last_machine_number += 1;
-                let name: MachineId = format!("n-{:06}", inner.last_machine_number).into();
-                names.push(name.clone());
-                self.boot(name, rental.zone.clone(), rental.spot, Duration::from_secs(20));
-            }
-            inner.rented.insert(rental.request, names.clone());
-            Ok(names)
+            let answer = self.rent(&rental);
+            self.deliver_copies(RepeatedKind::Cloud, move |deployment| {
+                let _ = deployment.rent(&rental);
+                async {}
+            });
+            answer
         })
     }
 
     fn delete(&self, machines: Vec<MachineId>) -> BoxFuture<'_, Result<(), CloudError>> {
         Box::pin(async move {
             sleep(Duration::from_millis(100)).await;
-            let mut inner = lock(&self.inner);
-            for machine in machines {
-                inner.workers.remove(&machine);
-            }
+            self.remove_machines(&machines);
+            self.deliver_copies(RepeatedKind::Cloud, move |deployment| {
+                deployment.remove_machines(&machines);
+                async {}
+            });
             Ok(())
         })
     }
@@ -98,6 +89,33 @@
 }
 
 impl TestDeployment {
+    /// Carries out a rental request, or repeats the answer to a known one.
+    fn rent(&self, rental: &ProvisionRequest) -> Result<Vec<MachineId>, CloudError> {
+        let mut inner = lock(&self.inner);
+        if let Some(names) = inner.rented.get(&rental.request) {
+            return Ok(names.clone());
+        }
+        if inner.no_capacity {
+            return Err(CloudError::NoCapacity);
+        }
+        let mut names = Vec::new();
+        for _ in 0..rental.count {
+            inner.last_machine_number += 1;
+            let name: MachineId = format!("n-{:06}", inner.last_machine_number).into();
+            names.push(name.clone());
+            self.boot(name, rental.zone.clone(), rental.spot, Duration::from_secs(20));
+        }
+        inner.rented.insert(rental.request.clone(), names.clone());
+        Ok(names)
+    }
+
+    fn remove_machines(&self, machines: &[MachineId]) {
+        let mut inner = lock(&self.inner);
+        for machine in machines {
+            inner.workers.remove(machine);
+        }
+    }
+
     /// Makes the cloud refuse new rentals for lack of capacity.
     pub fn exhaust_capacity(&self) {
         lock(&self.inner).no_capacity = true;
--- a/tests/common/deployment.rs
+++ b/tests/common/deployment.rs
@@ -8,12 +8,13 @@
 
 use stonewheel::{
     node::Node,
-    protocol::{JobSpec, JobState, MachineId},
+    protocol::{DirectCommands, JobSpec, JobState, MachineId},
     settings::Member,
 };
 use stonewheel_activation::ActivationSettings;
 use stonewheel_lending::LendingSettings;
 use stonewheel_rollout::Rollouts;
+use stonewheel_testing::RepeatedDeliveries;
 use tokio::{
     sync::Semaphore,
     time::{Instant, sleep},
@@ -24,6 +25,7 @@
     LateCommands, MemState,
     invariants::Checker,
     lock,
+    repeated::RepeatedKind,
     settings::{scale_settings, settings, settings_with_coming_limits},
     workers::{InMemoryWorkers, Worker},
 };
@@ -61,6 +63,10 @@
     pub(super) run_times: HashMap<String, Duration>,
     /// Selects the direct commands that arrive late.
     pub(super) late_commands: Option<LateCommands>,
+    /// Selects the requests of which copies arrive, by the kind of request.
+    pub(super) repeated: BTreeMap<RepeatedKind, RepeatedDeliveries>,
+    /// The direct requests that workers have answered, once they are recorded.
+    pub(super) answered_commands: Option<Vec<(MachineId, DirectCommands)>>,
     /// End of the suspension of each suspended node.
     pub(super) frozen_until: HashMap<usize, Instant>,
     /// Compares the tasks that workers start with the records.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub mod invariants;
 pub mod leader_harness;
 mod network;
+mod repeated;
 mod rules;
 mod samples;
 mod settings;
@@ -24,10 +25,11 @@
         assertions::{assert_no_violation, seconds, state},
         cloud::{address_of, machine_at},
         deployment::TestDeployment,
+        repeated::RepeatedKind,
         samples::{job, machine_type},
         settings::{SETTINGS, scale_settings, settings, settings_with_coming_limits},
     };
-    pub use stonewheel_testing::{LateCommands, MemState};
+    pub use stonewheel_testing::{LateCommands, MemState, RepeatedDeliveries};
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
--- a/tests/common/network.rs
+++ b/tests/common/network.rs
@@ -13,7 +13,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use super::{LateCommands, deployment::TestDeployment, lock};
+use super::{LateCommands, deployment::TestDeployment, lock, repeated::RepeatedKind};
 
 /// The interval between two heartbeats on a link.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(900);
@@ -101,7 +101,13 @@
         if self.is_previous_version(to) {
             message.cancellation_sync = None;
         }
-        receiver.on_message(message);
+        receiver.on_message(message.clone());
+        self.deliver_copies(RepeatedKind::Messages, move |deployment| {
+            if let Some(receiver) = deployment.running_process(to) {
+                receiver.on_message(message.clone());
+            }
+            async {}
+        });
     }
 
     /// Makes a node announce no features, as the previous version does, or all of them again.
--- a/tests/common/rules.rs
+++ b/tests/common/rules.rs
@@ -59,8 +59,9 @@
             return;
         }
         let live = |w: &Worker| -> Vec<String> {
-            let live = w.tasks.iter().filter(|(_, running)| running.state != TaskState::Exited);
-            live.map(|(task, _)| task.split('/').next().unwrap_or_default().to_owned()).collect()
+            let live = w.attempts.iter().filter(|(_, running)| running.state != TaskState::Exited);
+            live.map(|((task, _), _)| task.split('/').next().unwrap_or_default().to_owned())
+                .collect()
         };
         let mut team_gpus = 0.0;
         let mut zones: HashMap<Arc<str>, u32> = HashMap::new();
@@ -87,7 +88,7 @@
     pub(super) fn live_tasks_of(&self, jobs: &HashSet<String>) -> Vec<String> {
         let mut violations = Vec::new();
         for (machine, worker) in &self.workers {
-            for (task, running) in &worker.tasks {
+            for ((task, _), running) in &worker.attempts {
                 let job = task.split('/').next().unwrap_or_default();
                 if running.state != TaskState::Exited && jobs.contains(job) {
                     violations.push(format!("ran_cancelled: {job} on {machine}"));
--- a/tests/common/users.rs
+++ b/tests/common/users.rs
@@ -1,15 +1,15 @@
 //! User requests: submissions, status queries and cancellations. Each answer is compared with
 //! the earlier answers for the same job.
 
-use std::{collections::HashSet, time::Duration};
+use std::{collections::HashSet, future::Future, sync::Arc, time::Duration};
 
 use stonewheel::{
-    node::{Unavailable, UserReply},
+    node::{Node, Unavailable, UserReply},
     protocol::JobState,
 };
 use tokio::time::{Instant, sleep};
 
-use super::{deployment::TestDeployment, lock, samples::job};
+use super::{deployment::TestDeployment, lock, repeated::RepeatedKind, samples::job};
 
 impl TestDeployment {
     pub async fn status(&self, node: usize, id: &str) -> Result<UserReply, Unavailable> {
@@ -21,6 +21,13 @@
     pub async fn cancel(&self, node: usize, id: &str) -> Result<UserReply, Unavailable> {
         let reply = self.node(node).cancel(id).await;
         self.record_answer(id, &reply);
+        let copy = id.to_owned();
+        self.deliver_user_copies(node, move |node| {
+            let id = copy.clone();
+            async move {
+                let _ = node.cancel(&id).await;
+            }
+        });
         reply
     }
 
@@ -30,11 +37,37 @@
         id: &str,
         changes: serde_json::Value,
     ) -> Result<UserReply, Unavailable> {
-        let reply = self.node(node).submit(&job(id, changes)).await;
+        let body = job(id, changes);
+        let reply = self.node(node).submit(&body).await;
         self.record_answer(id, &reply);
+        self.deliver_user_copies(node, move |node| {
+            let body = body.clone();
+            async move {
+                let _ = node.submit(&body).await;
+            }
+        });
         reply
     }
 
+    /// Delivers copies of a user's request to the same controller.
+    fn deliver_user_copies<F>(
+        &self,
+        node: usize,
+        request: impl Fn(Arc<Node>) -> F + Send + Sync + 'static,
+    ) where
+        F: Future<Output = ()> + Send,
+    {
+        let request = Arc::new(request);
+        self.deliver_copies(RepeatedKind::Users, move |deployment| {
+            let request = request.clone();
+            async move {
+                if let Some(node) = deployment.running_process(node) {
+                    request(node).await;
+                }
+            }
+        });
+    }
+
     pub async fn until_state(&self, node: usize, id: &str, state: JobState) {
         let deadline = Instant::now() + Duration::from_secs(240);
         loop {
--- a/tests/common/workers.rs
+++ b/tests/common/workers.rs
@@ -27,6 +27,7 @@
     cloud::machine_at,
     deployment::{Inner, TestDeployment},
     lock,
+    repeated::RepeatedKind,
 };
 
 /// Latency of a direct command.
@@ -41,9 +42,11 @@
 /// Sender index of late direct commands. It is no node's index, so no partition applies to them.
 pub(super) const LATE_SENDER: usize = usize::MAX;
 
+/// A task and the number of an attempt to run it.
+pub(super) type Attempt = (String, u64);
+
 #[derive(Clone, Debug)]
 pub(super) struct RunningTask {
-    pub(super) attempt: u64,
     pub(super) state: TaskState,
     pub(super) cause: Option<ExitCause>,
     pub(super) since: Instant,
@@ -57,7 +60,9 @@
     pub(super) token: u64,
     /// Instant at which the latest answered heartbeat was sent; the lease runs from here.
     pub(super) leased_at: Instant,
-    pub(super) tasks: BTreeMap<String, RunningTask>,
+    /// The attempts that the worker reports: those that have not exited, and those that have
+    /// and were not forgotten.
+    pub(super) attempts: BTreeMap<Attempt, RunningTask>,
     /// Nodes that the worker can't reach.
     pub(super) partitioned_from: BTreeSet<usize>,
     /// Whether answers and direct commands to the worker are lost.
@@ -94,7 +99,7 @@
                 sequence: 0,
                 token: 0,
                 leased_at: Instant::now(),
-                tasks: BTreeMap::new(),
+                attempts: BTreeMap::new(),
                 partitioned_from: BTreeSet::new(),
                 drops_responses: false,
                 drops_heartbeats: false,
@@ -137,6 +142,12 @@
                     sleep(HEARTBEAT_TIMEOUT).await;
                 } else {
                     reply = Some(node.answer_heartbeat(&heartbeat).await);
+                    self.deliver_copies(RepeatedKind::Heartbeats, move |deployment| {
+                        if let Some(node) = deployment.running_process(node_index) {
+                            node.answer_heartbeat_now(&heartbeat);
+                        }
+                        async {}
+                    });
                 }
             }
             match reply.filter(|_| !drops_responses) {
@@ -197,7 +208,7 @@
             return Some((None, partitioned, drops_responses, drops_heartbeats));
         }
         worker.end_overdue_incarnation();
-        for (task, running) in &mut worker.tasks {
+        for ((task, _), running) in &mut worker.attempts {
             let job = task.split('/').next().unwrap_or_default();
             let age = now - running.since;
             if running.state == TaskState::Running && worker.fails {
@@ -222,9 +233,9 @@
         let Some(worker) = inner.workers.get(machine) else { return false };
         let of_job = |task: &str| task.split('/').next() == Some(job);
         worker
-            .tasks
+            .attempts
             .iter()
-            .any(|(task, running)| of_job(task) && running.state == TaskState::Running)
+            .any(|((task, _), running)| of_job(task) && running.state == TaskState::Running)
     }
 
     /// Returns the number of task starts on all workers so far.
@@ -244,7 +255,7 @@
             .workers
             .iter()
             .filter(|(_, w)| {
-                w.tasks.iter().any(|(task, running)| {
+                w.attempts.iter().any(|((task, _), running)| {
                     task.starts_with(&prefix) && running.state != TaskState::Exited
                 })
             })
@@ -317,20 +328,27 @@
     /// Starts a new incarnation without tasks if the lease has expired.
     pub(super) fn end_overdue_incarnation(&mut self) {
         if self.leased_at.elapsed() > WORKER_LEASE {
-            self.tasks.clear();
+            self.attempts.clear();
             self.incarnation += 1;
             self.leased_at = Instant::now();
         }
     }
 
+    /// Whether an attempt of the task is on the machine and has not exited.
+    fn runs(&self, task: &str) -> bool {
+        let first = (task.to_owned(), 0);
+        let attempts = self.attempts.range(first..).take_while(|((listed, _), _)| listed == task);
+        attempts.into_iter().any(|(_, running)| running.state != TaskState::Exited)
+    }
+
     pub(super) fn heartbeat(&mut self, name: &MachineId) -> WorkerHeartbeat {
         self.sequence += 1;
         let tasks = self
-            .tasks
+            .attempts
             .iter()
-            .map(|(task, running)| TaskStatus {
+            .map(|((task, attempt), running)| TaskStatus {
                 task: task.clone(),
-                attempt: running.attempt,
+                attempt: *attempt,
                 state: running.state,
                 cause: running.cause,
                 saved: None,
@@ -373,6 +391,7 @@
                 tokio::time::sleep_until(until).await;
             }
             self.deployment.remember_jobs(&commands.commands);
+            let copy = commands.clone();
             let late =
                 lock(&self.deployment.inner).late_commands.as_mut().and_then(LateCommands::draw);
             if let Some(delay) = late {
@@ -390,6 +409,11 @@
                 inner.command(&name, self.node_index, commands)
             };
             if let Some(heartbeat) = answer {
+                self.deployment.record_answered(&name, &copy);
+                self.deployment.deliver_copies(RepeatedKind::Commands, move |deployment| {
+                    let _ = lock(&deployment.inner).command(&name, LATE_SENDER, copy.clone());
+                    async {}
+                });
                 return Ok(heartbeat);
             }
             sleep(Duration::from_secs(1)).await;
@@ -439,51 +463,57 @@
 
     /// Executes a command on a worker and checks the rules for a task that starts.
     pub(super) fn execute(&mut self, name: &MachineId, command: TaskCommand) {
-        // A worker whose lease has expired counts as stopped, also while it is suspended: it
-        // ends its incarnation before it continues.
-        let runs_on = |id: &MachineId| {
-            let worker = self.workers.get(id).filter(|w| w.leased_at.elapsed() <= WORKER_LEASE);
-            let task = worker.and_then(|w| w.tasks.get(&command.task));
-            task.is_some_and(|running| running.state != TaskState::Exited)
-        };
-        let runs_elsewhere = command.op == CommandKind::Start
-            && self.checker.machines_of(&command.task).any(|id| id != name && runs_on(id));
-        let Some(worker) = self.workers.get_mut(name) else { return };
+        let attempt = (command.task.clone(), command.attempt);
         match command.op {
-            CommandKind::Start => {
-                if worker
-                    .tasks
-                    .get(&command.task)
-                    .is_some_and(|task| task.attempt >= command.attempt)
-                {
-                    return;
-                }
-                let incarnation = worker.incarnation;
-                if runs_elsewhere {
-                    self.violations.push(format!("ran_twice: {} on {name}", command.task));
-                }
-                self.starts += 1;
-                let (zone, spot) = (worker.zone.clone(), worker.spot);
-                let running = RunningTask {
-                    attempt: command.attempt,
-                    state: TaskState::Running,
-                    cause: None,
-                    since: Instant::now(),
-                };
-                worker.tasks.insert(command.task.clone(), running);
-                self.checker.record_start(&command.task, command.attempt, name, incarnation);
-                self.check_start(&command.task, &zone, spot);
-            }
+            CommandKind::Start => self.execute_start(name, attempt),
             CommandKind::Stop => {
-                if let Some(running) = worker.tasks.get_mut(&command.task)
+                if let Some(worker) = self.workers.get_mut(name)
+                    && let Some(running) = worker.attempts.get_mut(&attempt)
                     && running.state != TaskState::Exited
                 {
                     (running.state, running.cause) = (TaskState::Exited, Some(ExitCause::Stopped));
                 }
             }
             CommandKind::Forget => {
-                worker.tasks.remove(&command.task);
+                if let Some(worker) = self.workers.get_mut(name) {
+                    worker.attempts.retain(|listed, running| {
+                        *listed != attempt || running.state != TaskState::Exited
+                    });
+                }
             }
         }
     }
+
+    /// Starts an attempt, unless the worker lists it already. A worker that runs another attempt
+    /// of the task refuses the start.
+    fn execute_start(&mut self, name: &MachineId, attempt: Attempt) {
+        // A worker whose lease has expired counts as stopped, also while it is suspended: it
+        // ends its incarnation before it continues.
+        let task = &attempt.0;
+        let runs_on = |id: &MachineId| {
+            let worker = self.workers.get(id).filter(|w| w.leased_at.elapsed() <= WORKER_LEASE);
+            worker.is_some_and(|w| w.runs(task))
+        };
+        let runs_elsewhere = self.checker.machines_of(task).any(|id| id != name && runs_on(id));
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if worker.attempts.contains_key(&attempt) {
+            return;
+        }
+        let since = Instant::now();
+        if worker.runs(task) {
+            let (state, cause) = (TaskState::Exited, Some(ExitCause::Busy));
+            worker.attempts.insert(attempt, RunningTask { state, cause, since });
+            return;
+        }
+        if runs_elsewhere {
+            self.violations.push(format!("ran_twice: {task} on {name}"));
+        }
+        self.starts += 1;
+        let (zone, spot) = (worker.zone.clone(), worker.spot);
+        let incarnation = worker.incarnation;
+        let running = RunningTask { state: TaskState::Running, cause: None, since };
+        worker.attempts.insert(attempt.clone(), running);
+        self.checker.record_start(&attempt.0, attempt.1, name, incarnation);
+        self.check_start(&attempt.0, &zone, spot);
+    }
 }
--- a/tests/late_commands/main.rs
+++ b/tests/late_commands/main.rs
@@ -10,3 +10,4 @@
 mod direct_calls;
 mod open_starts;
 mod record_deletion;
+mod repeated_commands;
--- a/tests/late_commands/open_starts.rs
+++ b/tests/late_commands/open_starts.rs
@@ -129,7 +129,7 @@
 
 /// Returns a harness whose leader has a range of fencing tokens, so that it can raise a worker's
 /// token within its term.
-fn with_token_range() -> LeaderHarness {
+pub(crate) fn with_token_range() -> LeaderHarness {
     LeaderHarness::with(settings("m-0"), TermTokens::starting_at(5))
 }
 
