Copies of answered start commands are refused once their attempt is forgotten

Cause: the answer to a request was taken as proof that its starts can take no further effect (`OpenStarts::close` on `Answered`), so the exit was cleared under the same token. A worker that has forgotten an attempt starts it anew. The class: a request is taken as delivered at most once.

Fix: a heartbeat response with forget commands carries a higher token of the term's range than every direct request with starts before it. The worker forgets and refuses the copies in one step, with no further message; before that, the listed attempt makes the copies harmless. While a direct request is in flight the forget commands wait for the next response, since the worker would refuse that request for the higher token. No start is sent directly under the last token of a term, so the raise is always left; starts then go with heartbeat responses.

Tests that relied on a term of a single token, which no leader has, now say what they meant: the worker doesn't learn the raised token (`hold_worker_tokens`). They check as much as before.

--- a/src/controller/direct_commands.rs
+++ b/src/controller/direct_commands.rs
@@ -5,6 +5,11 @@
 //! carried out. If a request gets no response, the leader raises the worker's fencing token
 //! (`fencing.rs`). The next heartbeat response or direct command carries the higher token to
 //! the worker, and the worker's heartbeat after that closes the open starts.
+//!
+//! A copy of a request may also arrive after the request was answered. It starts nothing as
+//! long as the worker lists the attempts, so the leader raises the token with the response that
+//! makes the worker forget one of them. The term's last token is kept for that: no start
+//! command is sent directly under it.
 
 use tokio::time::Instant;
 
@@ -129,7 +134,10 @@
         Authority {
             incarnation: machine.incarnation(machine.bound.iter().filter_map(bound_incarnation)),
             controlled,
-            may_start: controlled && self.starts_allowed && open_starts < MAX_OPEN_STARTS,
+            may_start: controlled
+                && self.starts_allowed
+                && open_starts < MAX_OPEN_STARTS
+                && self.tokens.can_raise(machine.token.max(self.tokens.first())),
         }
     }
 
@@ -184,4 +192,25 @@
             }
         }
     }
+
+    /// Makes a response with forget commands carry a higher token than all direct requests with
+    /// starts before it, so that the worker refuses copies of them from the moment at which it
+    /// forgets their attempts. While a request is in flight, which the worker would refuse for
+    /// the higher token, the forget commands wait for the next response instead.
+    pub(super) fn fence_answered_starts(
+        &mut self,
+        machine: &MachineId,
+        commands: &mut Vec<TaskCommand>,
+    ) {
+        let Some(machine) = self.fleet.machines.get_mut(machine) else { return };
+        let forgets = commands.iter().any(|command| command.op == CommandKind::Forget);
+        if !forgets || !machine.open_starts.copies_are_valid_at(machine.token) {
+            return;
+        }
+        if machine.commands_in_flight {
+            commands.retain(|command| command.op != CommandKind::Forget);
+        } else {
+            machine.token = self.tokens.next_above(machine.token);
+        }
+    }
 }
--- a/src/controller/reconciliation.rs
+++ b/src/controller/reconciliation.rs
@@ -27,7 +27,8 @@
         heartbeat: &WorkerHeartbeat,
         now: Instant,
     ) -> Result<Vec<TaskCommand>, Superseded> {
-        let commands = self.process_heartbeat(heartbeat, HeartbeatSource::Worker, now)?;
+        let mut commands = self.process_heartbeat(heartbeat, HeartbeatSource::Worker, now)?;
+        self.fence_answered_starts(&heartbeat.machine, &mut commands);
         for command in commands.iter().filter(|command| command.op == CommandKind::Start) {
             if let Some(key) = TaskKey::parse(&command.task)
                 && let Some(binding) =
--- a/src/fencing.rs
+++ b/src/fencing.rs
@@ -2,16 +2,16 @@
 //!
 //! A worker refuses commands with a lower token than the highest token that it has seen.
 //! The transaction that takes the leadership also takes a range of tokens, so that a leader
-//! can raise the token of a single worker without the state service. Once a heartbeat of
-//! the worker shows the raised token, the worker can no longer carry out any earlier
-//! command that it left without a response. The stored token record holds the last token
+//! can raise the token of a single worker without the state service. A worker that has seen
+//! the raised token refuses every request that was sent before: one that it left without a
+//! response, and a copy of one that it answered. The stored token record holds the last token
 //! of the range, so the next term begins above it, whichever version of the program leads
 //! then.
 
 /// The number of tokens in a term's range, which limits how often a leader can raise a
-/// worker's token. Each worker's token is raised separately, so the limit doesn't depend on
-/// the number of workers. A token is raised once for each request without a response, so no
-/// term comes near the limit.
+/// worker's token. Each worker's token is raised separately, at most twice for each request
+/// with start commands. When the range is used up, start commands travel only with the responses
+/// to the worker's heartbeats until the next term.
 const TOKENS_PER_TERM: u64 = 1 << 20;
 
 /// The range of fencing tokens of one term of leadership.
@@ -27,9 +27,9 @@
         Self { first, last: first.saturating_add(TOKENS_PER_TERM - 1) }
     }
 
-    /// Creates a range of a single token, which can't be raised.
-    pub fn single(token: u64) -> Self {
-        Self { first: token, last: token }
+    /// Creates the range from the first to the last of these tokens.
+    pub fn between(first: u64, last: u64) -> Self {
+        Self { first, last }
     }
 
     /// Returns the term's first token, which is stored in the leader record.
@@ -48,6 +48,12 @@
         (self.first..=self.last).contains(&token)
     }
 
+    /// Whether the term has a token above the given one. Start commands are sent directly only
+    /// then, since a copy of such a request can be fenced off only by a higher token.
+    pub fn can_raise(&self, token: u64) -> bool {
+        token < self.last
+    }
+
     /// Returns the term's next token above the given one, or the term's last token if the
     /// range is used up.
     pub fn next_above(&self, token: u64) -> u64 {
--- a/src/fleet/open_starts.rs
+++ b/src/fleet/open_starts.rs
@@ -1,13 +1,19 @@
-//! Unanswered direct start commands, which a worker may still carry out.
+//! Direct start commands that a worker may still carry out.
 //!
-//! A worker may carry out an unanswered request for as long as the token and the incarnation
-//! of the request match its own, and it starts an attempt again that it has forgotten. This
-//! module maintains one invariant: **a direct start stays open until the request that carried
-//! it is answered, the worker reports a higher token than that of the request, or the
-//! worker's incarnation ends.** While a start is open, the absence of the task from a
-//! heartbeat is no proof of termination, the worker is not told to forget the task's exit, and
-//! no other attempt of the task is placed on that machine. An answer to another request does
-//! not close the start, even if both requests carry the same start.
+//! A worker carries out a request, also a copy of one that it has answered, for as long as the
+//! token and the incarnation of the request match its own. It ignores the start of an attempt
+//! that it lists, and starts an attempt again that it has forgotten. This module maintains two
+//! invariants:
+//!
+//! - **A direct start stays open until the request that carried it is answered, the worker
+//!   reports a higher token than that of the request, or the worker's incarnation ends.** While
+//!   a start is open, the absence of the task from a heartbeat is no proof of termination, the
+//!   worker is not told to forget the task's exit, and no other attempt of the task is placed
+//!   on that machine. An answer to another request does not close the start, even if both
+//!   requests carry the same start.
+//! - **An answered start may be repeated until the worker has a higher token than its
+//!   request.** So a message with forget commands carries a higher token than all requests
+//!   with starts before it.
 
 use std::collections::{BTreeMap, HashMap, hash_map::Entry};
 
@@ -35,6 +41,8 @@
     requests: BTreeMap<u64, SentStarts>,
     /// The number of open requests that carry each start.
     request_counts: HashMap<TaskAttempt, u32>,
+    /// The highest token of all requests with starts, answered ones included.
+    highest_sent_token: Option<u64>,
 }
 
 impl OpenStarts {
@@ -44,6 +52,7 @@
             *self.request_counts.entry(start.clone()).or_default() += 1;
         }
         if !starts.is_empty() {
+            self.highest_sent_token = self.highest_sent_token.max(Some(token));
             self.requests.insert(request, SentStarts { token, starts });
         }
     }
@@ -81,6 +90,13 @@
     pub fn end_incarnation(&mut self) {
         self.requests.clear();
         self.request_counts.clear();
+        self.highest_sent_token = None;
+    }
+
+    /// Whether a worker whose highest known token is `token` would carry out a copy of a
+    /// request with starts.
+    pub fn copies_are_valid_at(&self, token: u64) -> bool {
+        self.highest_sent_token.is_some_and(|sent| sent >= token)
     }
 
     /// Whether an open request may still start an attempt.
--- a/tests/common/leader_harness.rs
+++ b/tests/common/leader_harness.rs
@@ -28,11 +28,13 @@
     pub sole_renewer_since: Option<Instant>,
     /// Sequence number of the latest heartbeat, by machine.
     pub sequences: BTreeMap<String, u64>,
+    /// The token that workers show, if they do not learn the leader's tokens.
+    held_worker_token: Option<u64>,
 }
 
 impl LeaderHarness {
     pub fn new(token: u64) -> Self {
-        Self::with(settings("m-0"), TermTokens::single(token))
+        Self::with(settings("m-0"), TermTokens::starting_at(token))
     }
 
     /// Creates a leader without any records but the machine types.
@@ -57,15 +59,28 @@
             now,
             sole_renewer_since: Some(now),
             sequences: BTreeMap::new(),
+            held_worker_token: None,
         }
     }
 
+    /// Makes workers show the leader's first token although it raises theirs: no message with
+    /// the raised token has reached them.
+    pub fn hold_worker_tokens(mut self) -> Self {
+        self.held_worker_token = Some(self.leader.tokens.first());
+        self
+    }
+
+    /// Returns the highest token that a machine's worker has seen.
+    pub fn worker_token(&self, machine: &str) -> u64 {
+        self.held_worker_token.unwrap_or_else(|| self.leader.token_for(machine))
+    }
+
     /// Replaces this leader by its successor, which takes over the same records.
     pub fn succeed(self, token: u64) -> Self {
         Self {
             sequences: self.sequences,
             revision: self.revision,
-            ..Self::with_records(self.settings, self.watch_cache, TermTokens::single(token))
+            ..Self::with_records(self.settings, self.watch_cache, TermTokens::starting_at(token))
         }
     }
 
@@ -77,8 +92,13 @@
             class: Some("train".into()),
             within_s: Some(within_s),
         });
-        self.leader =
-            Leader::new(Arc::new(settings), 1, TermTokens::single(5), &self.watch_cache, self.now);
+        self.leader = Leader::new(
+            Arc::new(settings),
+            1,
+            TermTokens::starting_at(5),
+            &self.watch_cache,
+            self.now,
+        );
     }
 
     pub fn submit(&mut self, id: &str, changes: serde_json::Value) {
@@ -145,13 +165,7 @@
         incarnation: u64,
         tasks: &[TaskStatus],
     ) -> Vec<TaskCommand> {
-        self.heartbeat_with_token(
-            self.leader.token_for(machine),
-            machine,
-            sequence,
-            incarnation,
-            tasks,
-        )
+        self.heartbeat_with_token(self.worker_token(machine), machine, sequence, incarnation, tasks)
     }
 
     /// Delivers a heartbeat of a worker whose highest known token is `token`.
--- a/tests/late_commands/cancelled_tasks.rs
+++ b/tests/late_commands/cancelled_tasks.rs
@@ -16,7 +16,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn machine_that_may_start_a_cancelled_task_is_returned_during_an_outage() {
-    let mut harness = LeaderHarness::new(5);
+    let mut harness = LeaderHarness::new(5).hold_worker_tokens();
     harness.heartbeat("n-1", 1, &[]);
     place_one_task(&mut harness, "j-000001");
     let sent = take_direct_request(&mut harness);
@@ -34,7 +34,7 @@
 /// an open start of the cancelled job. The cancellation was confirmed to its user
 /// `confirmed_before_s` seconds before the leader learned of it.
 async fn seconds_until_return(confirmed_before_s: u64) -> u64 {
-    let mut harness = LeaderHarness::new(5);
+    let mut harness = LeaderHarness::new(5).hold_worker_tokens();
     harness.now += Duration::from_secs(60);
     harness.heartbeat("n-1", 1, &[]);
     place_one_task(&mut harness, "j-000001");
--- a/tests/late_commands/direct_calls.rs
+++ b/tests/late_commands/direct_calls.rs
@@ -24,7 +24,7 @@
     let mut settings = settings("m-0");
     settings.cluster.quota.fd_limit = 64;
     let calls = settings.max_direct_calls();
-    let mut harness = LeaderHarness::with(settings, TermTokens::single(5));
+    let mut harness = LeaderHarness::with(settings, TermTokens::starting_at(5));
     for machine in 0..3 * calls {
         harness.heartbeat(&format!("n-{machine:03}"), 1, &[]);
     }
@@ -51,7 +51,7 @@
     let mut settings = settings("m-0");
     settings.cluster.quota.fd_limit = 64;
     let calls = settings.max_direct_calls();
-    let mut harness = LeaderHarness::with(settings, TermTokens::single(5));
+    let mut harness = LeaderHarness::with(settings, TermTokens::starting_at(5));
     let machines = 3 * calls;
     for machine in 0..machines {
         harness.heartbeat(&format!("n-{machine:03}"), 1, &[]);
--- a/tests/late_commands/open_starts.rs
+++ b/tests/late_commands/open_starts.rs
@@ -4,7 +4,7 @@
 use crate::common::{
     TestDeployment,
     leader_harness::{LeaderHarness, exited, heartbeat_of, ops, running},
-    seconds, settings, state,
+    seconds, state,
 };
 use serde_json::json;
 use stonewheel::{
@@ -26,7 +26,7 @@
     sequence: u64,
     tasks: &[TaskStatus],
 ) {
-    let token = harness.leader.token_for(&sent.machine);
+    let token = harness.worker_token(&sent.machine);
     let heartbeat = heartbeat_of(&sent.machine, sent.commands.incarnation, sequence, token, tasks);
     let outcome = DirectOutcome::Answered(&heartbeat);
     harness.leader.on_direct_outcome(sent, outcome, harness.now).expect("leads");
@@ -70,7 +70,7 @@
 /// may still arrive, so the worker has to keep reporting the exit.
 #[tokio::test(start_paused = true)]
 async fn response_to_a_request_leaves_starts_of_earlier_requests_open() {
-    let mut harness = LeaderHarness::new(5);
+    let mut harness = LeaderHarness::new(5).hold_worker_tokens();
     let start = start_sent_twice(&mut harness);
     // The task exits. If the worker forgot it, the first request could start it again.
     let exit = exited(&start, ExitCause::Done);
@@ -89,7 +89,7 @@
 /// start may still arrive.
 #[tokio::test(start_paused = true)]
 async fn task_absent_from_a_heartbeat_stays_bound_while_its_start_is_open() {
-    let mut harness = LeaderHarness::new(5);
+    let mut harness = LeaderHarness::new(5).hold_worker_tokens();
     harness.heartbeat("n-1", 1, &[]);
     place_one_task(&mut harness, "j-000001");
     let first = take_direct_request(&mut harness);
@@ -127,15 +127,9 @@
     assert_eq!(ops(&commands, CommandKind::Forget).len(), 1);
 }
 
-/// Returns a harness whose leader has a range of fencing tokens, so that it can raise a worker's
-/// token within its term.
-pub(crate) fn with_token_range() -> LeaderHarness {
-    LeaderHarness::with(settings("m-0"), TermTokens::starting_at(5))
-}
-
 #[tokio::test(start_paused = true)]
 async fn acknowledged_higher_token_closes_open_starts() {
-    let mut harness = with_token_range();
+    let mut harness = LeaderHarness::new(5);
     harness.heartbeat("n-1", 1, &[]);
     place_one_task(&mut harness, "j-000001");
     let first = take_direct_request(&mut harness);
@@ -158,7 +152,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn exit_is_forgotten_once_a_higher_token_is_acknowledged() {
-    let mut harness = with_token_range();
+    let mut harness = LeaderHarness::new(5);
     let start = start_sent_twice(&mut harness);
     let exit = exited(&start, ExitCause::Done);
     // The second request carried the higher token, so the worker now rejects the first one.
@@ -213,7 +207,7 @@
 /// A new attempt on the same machine could run beside the open start of the earlier attempt.
 #[tokio::test(start_paused = true)]
 async fn next_attempt_avoids_a_machine_with_an_open_start() {
-    let mut harness = LeaderHarness::new(5);
+    let mut harness = LeaderHarness::new(5).hold_worker_tokens();
     harness.heartbeat("n-1", 1, &[]);
     place_one_task(&mut harness, "j-000001");
     let first = take_direct_request(&mut harness);
@@ -239,7 +233,7 @@
 /// limit on open starts the heartbeats would outgrow their maximum size.
 #[tokio::test(start_paused = true)]
 async fn unanswered_direct_starts_of_one_machine_are_limited() {
-    let mut harness = LeaderHarness::new(5);
+    let mut harness = LeaderHarness::new(5).hold_worker_tokens();
     harness.heartbeat("n-1", 1, &[]);
     let mut sent_directly = std::collections::BTreeSet::new();
     for number in 1..400 {
--- a/tests/late_commands/repeated_commands.rs
+++ b/tests/late_commands/repeated_commands.rs
@@ -3,15 +3,19 @@
 use std::time::Duration;
 
 use serde_json::json;
-use stonewheel::protocol::{CommandKind, ExitCause};
+use stonewheel::{
+    controller::DirectRequest,
+    fencing::TermTokens,
+    protocol::{CommandKind, ExitCause, TaskCommand},
+};
 use tokio::time::sleep;
 
 use crate::common::{
     TestDeployment,
-    leader_harness::{exited, ops, running},
-    seconds, state,
+    leader_harness::{LeaderHarness, exited, ops, running},
+    seconds, settings, state,
 };
-use crate::open_starts::{place_one_task, respond, take_direct_request, with_token_range};
+use crate::open_starts::{place_one_task, respond, take_direct_request};
 
 const JOB: &str = "j-000001";
 const TASK: &str = "j-000001/0";
@@ -117,7 +121,6 @@
 }
 
 #[tokio::test(start_paused = true)]
-#[ignore = "known to fail, see KNOWN-RED.txt: issue 58"]
 async fn copies_of_answered_starts_start_no_forgotten_attempt() {
     let mut failed = Vec::new();
     for outcome in [
@@ -142,20 +145,84 @@
     assert!(failed.is_empty(), "copies started tasks or broke a rule: {failed:?}");
 }
 
-/// The worker refuses a copy of the request from the message on that makes it forget the attempt.
+/// Sends the start of a new job to the worker directly and has the worker answer that the task
+/// runs. Returns the request.
+fn start_directly(harness: &mut LeaderHarness, id: &str, sequence: u64) -> DirectRequest {
+    place_one_task(harness, id);
+    let request = take_direct_request(harness);
+    respond(harness, &request, sequence, &[running(&request.commands.commands[0])]);
+    request
+}
+
+/// Returns the commands of the response to a heartbeat that lists the exit of the request's
+/// task, once the exit is durable.
+fn commands_after_exit(harness: &mut LeaderHarness, request: &DirectRequest) -> Vec<TaskCommand> {
+    let exit = exited(&request.commands.commands[0], ExitCause::Done);
+    harness.heartbeat("n-1", 1, std::slice::from_ref(&exit));
+    harness.settle();
+    harness.heartbeat("n-1", 1, std::slice::from_ref(&exit))
+}
+
 #[tokio::test(start_paused = true)]
-#[ignore = "known to fail, see KNOWN-RED.txt: issue 58"]
 async fn forget_command_comes_with_a_higher_token_than_the_answered_start() {
-    let mut harness = with_token_range();
+    let mut harness = LeaderHarness::new(5);
+    harness.heartbeat("n-1", 1, &[]);
+    let request = start_directly(&mut harness, JOB, 7);
+    let commands = commands_after_exit(&mut harness, &request);
+    assert_eq!(ops(&commands, CommandKind::Forget).len(), 1);
+    let raised = harness.leader.token_for("n-1");
+    assert_eq!(raised, request.commands.token + 1);
+    // All earlier requests are void now, so another forget command raises the token no further.
+    let exit = exited(&request.commands.commands[0], ExitCause::Done);
+    let commands = harness.heartbeat("n-1", 1, std::slice::from_ref(&exit));
+    assert_eq!(ops(&commands, CommandKind::Forget).len(), 1);
+    assert_eq!(harness.leader.token_for("n-1"), raised);
+}
+
+/// The worker would refuse a request that is on its way for the higher token.
+#[tokio::test(start_paused = true)]
+async fn forget_command_waits_while_a_direct_request_is_in_flight() {
+    let mut harness = LeaderHarness::new(5);
     harness.heartbeat("n-1", 1, &[]);
-    place_one_task(&mut harness, JOB);
-    let request = take_direct_request(&mut harness);
-    let start = request.commands.commands[0].clone();
-    respond(&mut harness, &request, 7, &[running(&start)]);
-    let exit = exited(&start, ExitCause::Error);
+    let first = start_directly(&mut harness, JOB, 7);
+    let exit = exited(&first.commands.commands[0], ExitCause::Done);
     harness.heartbeat("n-1", 1, std::slice::from_ref(&exit));
-    harness.settle();
+    place_one_task(&mut harness, "j-000002");
+    let second = take_direct_request(&mut harness);
     let commands = harness.heartbeat("n-1", 1, std::slice::from_ref(&exit));
+    assert_eq!(ops(&commands, CommandKind::Forget), [] as [&TaskCommand; 0]);
+    assert_eq!(harness.leader.token_for("n-1"), second.commands.token);
+    let other = running(&second.commands.commands[0]);
+    respond(&mut harness, &second, 20, &[exit.clone(), other.clone()]);
+    let commands = harness.heartbeat("n-1", 1, &[exit, other]);
     assert_eq!(ops(&commands, CommandKind::Forget).len(), 1);
-    assert!(harness.leader.token_for("n-1") > request.commands.token);
+    assert!(harness.leader.token_for("n-1") > second.commands.token);
+}
+
+/// The last token of a term is kept for forget commands, since nothing could void a copy of a
+/// start that was sent under it.
+#[tokio::test(start_paused = true)]
+async fn no_start_is_sent_directly_under_the_last_token_of_a_term() {
+    let mut harness = LeaderHarness::with(settings("m-0"), TermTokens::between(5, 6));
+    harness.heartbeat("n-1", 1, &[]);
+    let request = start_directly(&mut harness, JOB, 7);
+    let commands = commands_after_exit(&mut harness, &request);
+    assert_eq!(ops(&commands, CommandKind::Forget).len(), 1);
+    assert_eq!(harness.leader.token_for("n-1"), 6);
+    // The starts travel with the responses to heartbeats, which a network can't repeat.
+    place_one_task(&mut harness, "j-000002");
+    assert!(harness.leader.take_direct_requests(harness.now).is_empty());
+    let commands = harness.heartbeat("n-1", 1, &[]);
+    let start = ops(&commands, CommandKind::Start)[0].clone();
+    // Stop commands are still sent directly.
+    harness.heartbeat("n-1", 1, &[running(&start)]);
+    harness.cancel("j-000002");
+    harness.now += Duration::from_secs(4);
+    harness.pass(0.2);
+    let stop = take_direct_request(&mut harness);
+    assert_eq!(ops(&stop.commands.commands, CommandKind::Stop).len(), 1);
+    let exit = exited(&start, ExitCause::Stopped);
+    harness.heartbeat("n-1", 1, std::slice::from_ref(&exit));
+    harness.settle();
+    assert_eq!(harness.leader.token_for("n-1"), 6, "no token beyond the range");
 }
--- a/tests/leader/capacity.rs
+++ b/tests/leader/capacity.rs
@@ -145,7 +145,7 @@
     harness.leader = Leader::new(
         Arc::new(settings("m-0")),
         1,
-        TermTokens::single(5),
+        TermTokens::starting_at(5),
         &harness.watch_cache,
         harness.now,
     );
@@ -181,7 +181,7 @@
     harness.leader = Leader::new(
         Arc::new(settings("m-0")),
         1,
-        TermTokens::single(5),
+        TermTokens::starting_at(5),
         &harness.watch_cache,
         harness.now,
     );
--- a/tests/leader/heartbeats.rs
+++ b/tests/leader/heartbeats.rs
@@ -83,7 +83,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn an_unanswered_direct_command_keeps_its_task_bound_and_its_exit_uncleared() {
-    let mut harness = LeaderHarness::new(5);
+    let mut harness = LeaderHarness::new(5).hold_worker_tokens();
     harness.heartbeat("n-1", 1, &[]);
     harness.submit("j-000001", json!({"Shape": "service", "Spokes": 1}));
     harness.settle();
@@ -132,7 +132,8 @@
     harness.settle();
     assert_eq!(harness.bound("j-000001").len(), 1);
     // A higher token in the answer ends this controller's leadership.
-    let superseding = WorkerHeartbeat { token: 6, sequence: 8, ..answer };
+    let token = harness.leader.tokens.last() + 1;
+    let superseding = WorkerHeartbeat { token, sequence: 8, ..answer };
     assert!(
         harness
             .leader
--- a/tests/leader/page_records.rs
+++ b/tests/leader/page_records.rs
@@ -77,7 +77,7 @@
 /// Returns a leader with four machines that have capacity for many tasks of a `tiny` job.
 pub(crate) fn harness_for_tiny_tasks() -> LeaderHarness {
     let mut harness =
-        LeaderHarness::with(settings_with_coming_limits("m-0"), TermTokens::single(5));
+        LeaderHarness::with(settings_with_coming_limits("m-0"), TermTokens::starting_at(5));
     for machine in 0..4 {
         harness.heartbeat(&format!("n-00000{machine}"), 1, &[]);
     }
@@ -127,7 +127,8 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_page_above_the_coming_limit_is_written_once_enough_tasks_have_exited() {
-    let mut before = LeaderHarness::with(settings_with_coming_limits("m-0"), TermTokens::single(4));
+    let mut before =
+        LeaderHarness::with(settings_with_coming_limits("m-0"), TermTokens::starting_at(4));
     before.submit("j-000001", tiny(120, "batch"));
     put_page_of_previous_version(&mut before, "j-000001", 120);
     let mut harness = before.succeed(5);
--- a/tests/production_size.rs
+++ b/tests/production_size.rs
@@ -38,6 +38,11 @@
 /// The value of `cancel_s` in the settings.
 const CANCEL_S: f64 = 36.0;
 
+/// The share of requests of each kind of which copies arrive after they were answered.
+const REPEATED_SHARE: f64 = 0.05;
+/// The delays of these copies, from within a second to well over `lease_s`.
+const REPEATED_AFTER_S: std::ops::Range<f64> = 0.05..45.0;
+
 /// The time-out of a user's request, since a killed controller sends no response.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -149,6 +154,7 @@
     deployment.set_late_commands(Some(LateCommands::new(seed, 0.35, 2.0..max_delay_s)));
     deployment.state.set_late_transactions(Some(LateTransactions::new(seed, 0.04, 0.5)));
     deployment.state.set_window(40);
+    deployment.repeat_all_kinds(seed, REPEATED_SHARE, &REPEATED_AFTER_S);
     let mut old_heartbeats: Vec<WorkerHeartbeat> = Vec::new();
     while Instant::now() < end {
         sleep(Duration::from_secs_f64(rng.random_range(4.0..10.0))).await;
@@ -160,7 +166,9 @@
             1 => {
                 old_heartbeats = deployment.last_heartbeats();
                 deployment.kill_node(leader);
-                sleep(Duration::from_secs_f64(rng.random_range(1.0..5.0))).await;
+                // A process may be back within a fraction of a second.
+                let away_s = if rng.random_bool(0.5) { 0.05..1.0 } else { 1.0..5.0 };
+                sleep(Duration::from_secs_f64(rng.random_range(away_s))).await;
                 deployment.start_node(leader);
             }
             2 => {
@@ -215,6 +223,7 @@
     }
     deployment.set_late_commands(None);
     deployment.state.set_late_transactions(None);
+    deployment.end_repetition();
 }
 
 /// Returns the jobs that are neither done nor cancelled according to the answers to a user.
