Seeds of lending, rollout and activation repeat requests to the state service

The optional parts had no test in which a transaction or a lease request is carried out once more after its answer.

--- a/crates/stonewheel-activation/tests/scenarios.rs
+++ b/crates/stonewheel-activation/tests/scenarios.rs
@@ -189,6 +189,27 @@
     }
 }
 
+/// Copies of transactions and lease requests arrive from within a second to long after they were
+/// answered: no replica is started by them, and an idle model still stops.
+#[tokio::test(start_paused = true)]
+async fn repeated_requests_to_the_state_service_start_no_replica() {
+    for seed in 0..6 {
+        let fleet = Fleet::with_router(3).await;
+        let repeated = stonewheel_testing::RepeatedDeliveries::new(seed, 0.3, 0.05..45.0);
+        fleet.state.set_repeated_requests(Some(repeated));
+        assert!(all_answered(&fleet.burst(30, "router").await), "seed {seed}");
+        assert_eq!(fleet.starter.starts().len(), 1, "seed {seed}");
+        fleet
+            .wait_until("the idle model scales to zero", |f| {
+                f.record("router").state == ModelState::ScaledToZero
+            })
+            .await;
+        sleep(Duration::from_secs(45)).await;
+        assert_eq!(fleet.starter.starts().len(), 1, "seed {seed}");
+        fleet.assert_no_violation();
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn state_outage_during_start_refuses_requests_and_causes_no_second_start() {
     let fleet = Fleet::with_router(3).await;
--- a/crates/stonewheel-lending/tests/guarantees.rs
+++ b/crates/stonewheel-lending/tests/guarantees.rs
@@ -17,7 +17,7 @@
     ledger::{ChangeReason, Entry, LoanId, LoanState, Transition},
     planner::{Plan, PlannerInput, WaitReason, plan},
 };
-use stonewheel_testing::LateTransactions;
+use stonewheel_testing::{LateTransactions, RepeatedDeliveries};
 use tokio::time::sleep;
 
 const TEAMS: [(&str, u32, u32); 4] =
@@ -27,6 +27,10 @@
 const MAX_LOST_MACHINES: u32 = 5;
 /// Seeds that run in CI. Another test, which is ignored by default, runs more.
 const CI_SEEDS: std::ops::Range<u64> = 0..6;
+/// The share of requests to the state service of which copies arrive after they were answered.
+const REPEATED_SHARE: f64 = 0.05;
+/// The delays of these copies in seconds.
+const REPEATED_AFTER_S: std::ops::Range<f64> = 0.05..45.0;
 /// How long demand and faults last.
 const LOAD_DURATION: Duration = Duration::from_secs(600);
 
@@ -108,12 +112,15 @@
 /// Runs a deployment with demand and faults, then ends the faults and restarts all controllers.
 async fn run_load(seed: u64) -> TestDeployment {
     let cluster = TestDeployment::new(settings(&TEAMS), MACHINES).await;
+    let repeated = RepeatedDeliveries::new(seed, REPEATED_SHARE, REPEATED_AFTER_S);
+    cluster.state.set_repeated_requests(Some(repeated));
     tokio::select! {
         () = generate_demand(cluster.clone(), seed) => {}
         () = inject_faults(cluster.clone(), seed) => {}
         () = sleep(LOAD_DURATION) => {}
     }
     cluster.state.set_late_transactions(None);
+    cluster.state.set_repeated_requests(None);
     cluster.state.set_outage(false);
     for controller in 0..CONTROLLERS {
         cluster.kill(controller);
--- a/crates/stonewheel-rollout/tests/scenarios.rs
+++ b/crates/stonewheel-rollout/tests/scenarios.rs
@@ -37,6 +37,22 @@
     deployment.assert_nothing_lost(LEVEL);
 }
 
+/// Copies of transactions and lease requests arrive from within a second to long after they were
+/// answered.
+#[tokio::test(start_paused = true)]
+async fn repeated_requests_to_the_state_service_change_no_rollout() {
+    for seed in 0..6 {
+        let deployment = Deployment::new(LEVEL, 10, 4).await;
+        let repeated = stonewheel_testing::RepeatedDeliveries::new(seed, 0.3, 0.05..45.0);
+        deployment.state.set_repeated_requests(Some(repeated));
+        deployment.roll_out(1, 3).await.expect("accepted");
+        assert_ends(&deployment, Phase::Done, "two").await;
+        sleep(Duration::from_secs(45)).await;
+        assert_eq!(deployment.phase(), Some(Phase::Done));
+        deployment.assert_nothing_lost(LEVEL);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn rollback_at_any_time_loses_no_capacity_and_no_request() {
     for after_s in (1..60).step_by(6) {
