Log lines tell for an attempt what started, settled and ended it

At info the leader now logs each direct request with starts (request, token, incarnation, attempts), its outcome (answered, refused, not delivered, no answer; the token that holds afterwards), the commands in each response to a heartbeat, the attempts that a heartbeat shows to have ended, and attempts that run without a binding. Volume: at most one line a direct request and its outcome, a kind of command and a heartbeat; 64 attempts a line.

The leader's summary counts stale heartbeats (late ones and copies), direct requests sent and refused, raised tokens, and attempts reported without a binding, which is what a copy that takes effect shows as.

--- a/src/controller/direct_commands.rs
+++ b/src/controller/direct_commands.rs
@@ -13,7 +13,12 @@
 
 use tokio::time::Instant;
 
-use super::{Leader, superseded::Superseded, task_verdict::HeartbeatSource};
+use super::{
+    Leader,
+    command_log::{is_refusal, log_direct_outcome, log_direct_starts},
+    superseded::Superseded,
+    task_verdict::HeartbeatSource,
+};
 use crate::{
     fleet::{Machine, TaskAttempt, TaskKey},
     protocol::{BODY_LIMIT, CommandKind, DirectCommands, MachineId, TaskCommand, WorkerHeartbeat},
@@ -89,6 +94,8 @@
             }
             requests.extend(self.compose_request(&id, now));
         }
+        requests.iter().for_each(log_direct_starts);
+        self.counters.direct_requests += requests.len() as u64;
         requests
     }
 
@@ -172,11 +179,13 @@
         self.direct_calls.finish(request.id);
         let Some(machine) = self.fleet.machines.get_mut(&request.machine) else { return Ok(()) };
         machine.commands_in_flight = false;
-        match outcome {
+        let result = match outcome {
             // If another machine has taken over the address, the heartbeat names that machine
             // and says nothing of this one.
             DirectOutcome::Answered(heartbeat) if heartbeat.machine == request.machine => {
                 machine.open_starts.close(request.id);
+                let is_refused = is_refusal(request, heartbeat);
+                self.counters.direct_requests_refused += u64::from(is_refused);
                 self.process_heartbeat(heartbeat, HeartbeatSource::DirectResponse, now).map(|_| ())
             }
             DirectOutcome::NotDelivered => {
@@ -187,10 +196,13 @@
                 if machine.open_starts.is_open(request.id) {
                     machine.token =
                         machine.token.max(self.tokens.next_above(request.commands.token));
+                    self.counters.tokens_raised += 1;
                 }
                 Ok(())
             }
-        }
+        };
+        log_direct_outcome(request, outcome, self.token_for(&request.machine));
+        result
     }
 
     /// Makes a response with forget commands carry a higher token than all direct requests with
@@ -211,6 +223,7 @@
             commands.retain(|command| command.op != CommandKind::Forget);
         } else {
             machine.token = self.tokens.next_above(machine.token);
+            self.counters.tokens_raised += 1;
         }
     }
 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -22,6 +22,7 @@
 //! - `reconciliation`: worker heartbeats, with the decisions in `task_verdict`
 //! - `task_exits` and `incarnations`: ended tasks and ended worker incarnations
 //! - `direct_commands`: commands sent to workers' own addresses
+//! - `command_log`: log lines about commands and the ends of attempts
 //! - `tick`: work that is due as time passes
 //! - `planner`: scheduling passes
 //! - `autoscaler` and `headroom`: the size of the fleet
@@ -33,6 +34,7 @@
 mod autoscaler;
 mod binding;
 mod cancellations;
+mod command_log;
 mod direct_calls;
 mod direct_commands;
 mod headroom;
--- a/src/controller/reconciliation.rs
+++ b/src/controller/reconciliation.rs
@@ -9,6 +9,9 @@
 use super::{
     Leader,
     binding::StopRequest,
+    command_log::{
+        AttemptEnd, EndedAttempt, log_ended_attempts, log_response, log_unbound_attempts,
+    },
     superseded::Superseded,
     task_verdict::{HeartbeatSource, TaskContext, TaskVerdict, task_verdict},
 };
@@ -29,6 +32,7 @@
     ) -> Result<Vec<TaskCommand>, Superseded> {
         let mut commands = self.process_heartbeat(heartbeat, HeartbeatSource::Worker, now)?;
         self.fence_answered_starts(&heartbeat.machine, &mut commands);
+        log_response(heartbeat, self.token_for(&heartbeat.machine), &commands);
         for command in commands.iter().filter(|command| command.op == CommandKind::Start) {
             if let Some(key) = TaskKey::parse(&command.task)
                 && let Some(binding) =
@@ -70,7 +74,10 @@
         let was_ready = self.is_ready(&heartbeat.machine, now);
         let lease = self.settings.worker_lease();
         match self.fleet.record_heartbeat(heartbeat, self.tokens, lease, now) {
-            Freshness::Stale => return Ok(Vec::new()),
+            Freshness::Stale => {
+                self.counters.stale_heartbeats += 1;
+                return Ok(Vec::new());
+            }
             Freshness::NewIncarnation => {
                 self.end_incarnations_before(&heartbeat.machine, heartbeat.incarnation, now)
             }
@@ -122,16 +129,32 @@
         self.counters.heartbeats += 1;
         self.counters.tasks_reconciled += (bound.len() + reported.len()) as u64;
         let mut commands = Vec::new();
+        let mut ended = Vec::new();
         for key in bound {
             let status = reported.get(&key).copied();
             if let Some(verdict) = self.verdict(&key, status, heartbeat, source) {
+                ended.extend(self.ended_attempt(&key, verdict));
                 commands.extend(self.apply_verdict(&key, verdict, &heartbeat.machine, now));
             }
         }
+        log_ended_attempts(heartbeat, &ended);
         self.reconcile_unmanaged_tasks(&reported, heartbeat, &mut commands);
         commands
     }
 
+    /// Returns the bound attempt of a task if the verdict is that it has ended.
+    fn ended_attempt(&self, key: &TaskKey, verdict: TaskVerdict<'_>) -> Option<EndedAttempt> {
+        let end = match verdict {
+            TaskVerdict::Exited(cause) => AttemptEnd::Exited(cause),
+            TaskVerdict::Terminated | TaskVerdict::StartUnacknowledged => AttemptEnd::Absent,
+            TaskVerdict::Present(_) | TaskVerdict::StartDue | TaskVerdict::Undetermined => {
+                return None;
+            }
+        };
+        let attempt = self.jobs.get(&key.job)?.bound.get(&key.task)?.attempt;
+        Some(EndedAttempt { key: key.clone(), attempt, end })
+    }
+
     /// Returns what a heartbeat shows of a bound task, or None if the binding belongs to another
     /// incarnation of the worker than the one that sent the heartbeat.
     fn verdict<'a>(
@@ -238,6 +261,7 @@
         commands: &mut Vec<TaskCommand>,
     ) {
         let mut unmanaged = Resources::default();
+        let mut stops = Vec::new();
         for (key, &status) in reported {
             if self.is_managed(key, status, heartbeat) {
                 continue;
@@ -250,9 +274,12 @@
                 if let Some(job) = self.jobs.get(&key.job) {
                     unmanaged.add(&Resources::of_task(&job.spec));
                 }
-                commands.push(stop_command(status, 0.0));
+                stops.push(stop_command(status, 0.0));
             }
         }
+        log_unbound_attempts(heartbeat, &stops);
+        self.counters.unbound_attempts += stops.len() as u64;
+        commands.append(&mut stops);
         if let Some(machine) = self.fleet.machines.get_mut(&heartbeat.machine) {
             machine.unmanaged = unmanaged;
         }
--- a/src/controller/summary.rs
+++ b/src/controller/summary.rs
@@ -10,6 +10,18 @@
 pub struct WorkCounters {
     /// Heartbeats reconciled, without stale ones.
     pub heartbeats: u64,
+    /// Heartbeats not reconciled, since a newer one or a later incarnation is known: late ones
+    /// and copies.
+    pub stale_heartbeats: u64,
+    /// Direct requests sent.
+    pub direct_requests: u64,
+    /// Direct requests that the worker refused for their token or incarnation.
+    pub direct_requests_refused: u64,
+    /// Raises of a single worker's fencing token.
+    pub tokens_raised: u64,
+    /// Reports of an attempt that runs on a machine although it is not bound there, as after a
+    /// copy of a start command that took effect.
+    pub unbound_attempts: u64,
     /// Tasks compared in reconciliations, counted once as bound and once as reported.
     pub tasks_reconciled: u64,
     /// Ticks of the leader.
