Measure what commands cost: start delays, refusals, heartbeats' size

An ignored test of production_size prints the time from a committed binding to its start, direct requests and those refused, renewals refused for their token, exits in a heartbeat and the largest one, with and without faults, at 495 (as in the recorded deployments), 1,000 and 4,000 machines. The state service's stand-in keeps when each value was put.

--- a/crates/stonewheel-testing/src/lib.rs
+++ b/crates/stonewheel-testing/src/lib.rs
@@ -13,4 +13,4 @@
 pub use coordination::{spawn_coordinator, timing};
 pub use faults::{Delays, LateCommands, LateTransactions, RepeatedDeliveries};
 pub use members::{Members, Process};
-pub use state::{MemState, StateUsage};
+pub use state::{MemState, PastPut, StateUsage};
--- a/crates/stonewheel-testing/src/state.rs
+++ b/crates/stonewheel-testing/src/state.rs
@@ -26,6 +26,8 @@
     revision: u64,
     kv: BTreeMap<String, (Box<RawValue>, u64, Option<u64>)>,
     log: Vec<(u64, String, Option<Box<RawValue>>)>,
+    /// When each change of `log` was made.
+    changed_at: Vec<Instant>,
     leases: HashMap<u64, (Duration, Instant)>,
     next_lease: u64,
     outage: bool,
@@ -68,6 +70,17 @@
     pub writes: u64,
 }
 
+/// A value that was put to a key, and when.
+#[derive(Clone, Debug)]
+pub struct PastPut {
+    /// When the value was put.
+    pub at: Instant,
+    /// The key.
+    pub key: String,
+    /// The JSON text of the value.
+    pub value: String,
+}
+
 /// Largest value, in bytes, and largest number of writes in a transaction.
 #[derive(Clone, Copy)]
 struct Limits {
@@ -98,6 +111,11 @@
         }
     }
 
+    fn record_change(&mut self, key: String, value: Option<Box<RawValue>>) {
+        self.log.push((self.revision, key, value));
+        self.changed_at.push(Instant::now());
+    }
+
     fn end_lease(&mut self, lease: u64) {
         self.leases.remove(&lease);
         let keys: Vec<String> = self
@@ -109,7 +127,7 @@
         for key in keys {
             self.revision += 1;
             self.kv.remove(&key);
-            self.log.push((self.revision, key, None));
+            self.record_change(key, None);
         }
     }
 
@@ -147,11 +165,11 @@
             match write {
                 Write::Put { key, value, lease } => {
                     self.kv.insert(key.clone(), (value.clone(), self.revision, *lease));
-                    self.log.push((self.revision, key.clone(), Some(value.clone())));
+                    self.record_change(key.clone(), Some(value.clone()));
                 }
                 Write::Delete { key } => {
                     if self.kv.remove(key).is_some() {
-                        self.log.push((self.revision, key.clone(), None));
+                        self.record_change(key.clone(), None);
                     }
                 }
             }
@@ -324,6 +342,18 @@
         lock(&self.0).kv.get(key).map(|(v, ..)| v.get().to_owned())
     }
 
+    /// Returns all values that were ever put to keys with this prefix, in order.
+    pub fn put_history(&self, prefix: &str) -> Vec<PastPut> {
+        let store = lock(&self.0);
+        let changes = store.changed_at.iter().zip(&store.log);
+        let of_prefix = changes.filter(|(_, (_, key, _))| key.starts_with(prefix));
+        let puts = of_prefix.filter_map(|(at, (_, key, value))| {
+            let value = value.as_ref()?.get().to_owned();
+            Some(PastPut { at: *at, key: key.clone(), value })
+        });
+        puts.collect()
+    }
+
     /// Returns the version of a key, or 0 if the key does not exist.
     pub fn version(&self, key: &str) -> u64 {
         lock(&self.0).kv.get(key).map_or(0, |(_, v, _)| *v)
--- a/tests/common/deployment.rs
+++ b/tests/common/deployment.rs
@@ -23,6 +23,7 @@
 
 use super::{
     LateCommands, MemState,
+    command_cost::CommandCost,
     invariants::Checker,
     lock,
     repeated::RepeatedKind,
@@ -65,6 +66,8 @@
     pub(super) late_commands: Option<LateCommands>,
     /// Selects the requests of which copies arrive, by the kind of request.
     pub(super) repeated: BTreeMap<RepeatedKind, RepeatedDeliveries>,
+    /// What commands cost so far.
+    pub(super) command_cost: CommandCost,
     /// The direct requests that workers have answered, once they are recorded.
     pub(super) answered_commands: Option<Vec<(MachineId, DirectCommands)>>,
     /// End of the suspension of each suspended node.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 mod assertions;
 mod cloud;
+mod command_cost;
 mod deployment;
 pub mod invariants;
 pub mod leader_harness;
--- a/tests/common/workers.rs
+++ b/tests/common/workers.rs
@@ -156,6 +156,7 @@
                     let mut inner = lock(&self.inner);
                     let Some(worker) = inner.workers.get_mut(name) else { return };
                     if token < worker.token {
+                        inner.command_cost.renewals_refused += 1;
                         continue;
                     }
                     (worker.token, worker.leased_at) = (token, sent);
@@ -224,6 +225,7 @@
         }
         let heartbeat = worker.heartbeat(name);
         worker.last_heartbeat = Some(heartbeat.clone());
+        inner.command_cost.record_heartbeat(&heartbeat);
         Some((Some(heartbeat), partitioned, drops_responses, drops_heartbeats))
     }
 
@@ -451,6 +453,8 @@
     ) -> Option<WorkerHeartbeat> {
         let worker = self.workers.get(name)?;
         let accepted = commands.token >= worker.token && commands.incarnation == worker.incarnation;
+        self.command_cost.requests += 1;
+        self.command_cost.requests_refused += u32::from(!accepted);
         if accepted {
             for command in commands.commands {
                 self.execute(name, command);
@@ -513,6 +517,7 @@
         let incarnation = worker.incarnation;
         let running = RunningTask { state: TaskState::Running, cause: None, since };
         worker.attempts.insert(attempt.clone(), running);
+        self.command_cost.started_at.entry(attempt.clone()).or_insert(since);
         self.checker.record_start(&attempt.0, attempt.1, name, incarnation);
         self.check_start(&attempt.0, &zone, spot);
     }
--- a/tests/production_size.rs
+++ b/tests/production_size.rs
@@ -317,6 +317,58 @@
     violations
 }
 
+/// Runs pipelines, with or without faults, and prints what commands cost.
+async fn measure_commands(seed: u64, size: Size, faults: bool) {
+    let deployment = TestDeployment::in_two_zones_scaled(size.machines, size.scale).await;
+    let mut rng = StdRng::seed_from_u64(seed);
+    let jobs = plan(&mut rng, size.pipelines);
+    let ids: Vec<String> = jobs.iter().map(|job| job.id.clone()).collect();
+    let begin = Instant::now();
+    if faults {
+        tokio::spawn(inject_faults(deployment.clone(), begin, seed));
+    }
+    for (number, job) in jobs.into_iter().enumerate() {
+        let seed = seed ^ (number as u64 + 1) << 20;
+        tokio::spawn(submit_and_cancel(deployment.clone(), job, begin, seed));
+    }
+    sleep_until(begin + Duration::from_secs_f64(FAULT_PERIOD_S)).await;
+    while !unfinished_jobs(&deployment, &ids).await.is_empty() {
+        sleep(Duration::from_secs(5)).await;
+    }
+    let cost = deployment.command_cost();
+    let delays = deployment.start_delays();
+    let percentile = |share: f64| delays[(delays.len() as f64 * share) as usize].as_millis();
+    println!(
+        "seed {seed}, faults {faults}, {} machines, {} starts in {:.0} s: binding to start {} ms median, {} ms \
+         p99, {} ms at most; direct requests {:.1}/s, refused {}; renewals refused {}; exits in \
+         a heartbeat {}, largest heartbeat {:.1} KiB; broken: {}",
+        size.machines,
+        deployment.starts(),
+        begin.elapsed().as_secs_f64(),
+        percentile(0.5),
+        percentile(0.99),
+        delays.last().expect("a start").as_millis(),
+        f64::from(cost.requests) / begin.elapsed().as_secs_f64(),
+        cost.requests_refused,
+        cost.renewals_refused,
+        cost.most_exits,
+        cost.largest_heartbeat as f64 / 1024.0,
+        deployment.violations().len(),
+    );
+}
+
+#[tokio::test(start_paused = true)]
+#[ignore = "measures what commands cost, prints it and asserts nothing"]
+async fn measure_cost_of_commands() {
+    let recorded = Size { machines: 495, pipelines: 45, scale: 1.0 };
+    for seed in 1..=3 {
+        for size in [recorded, THOUSAND, FOUR_THOUSAND] {
+            measure_commands(seed, size, false).await;
+            measure_commands(seed, size, true).await;
+        }
+    }
+}
+
 async fn assert_no_violations(seed: u64, size: Size) {
     let violations = run_seed(seed, size).await;
     let first: Vec<&String> = violations.iter().take(12).collect();
