Forget commands wait for a request in flight only up to 32; the log test by itself

Forget commands that would raise the token under a direct request in flight wait for the next response. Where requests to a worker are in flight all the time, its exits would have piled up without a bound. Beyond 32, a sixteenth of a heartbeat, they are now sent at once; the request is refused and its starts are sent again.

Tests: many_forget_commands_wait_for_no_direct_request; followers_renew_leases_of_workers_with_raised_tokens_in_an_outage (beside controllers of the previous version too). On a scratch copy the tests were seen to fail with the raise taken out (6), without the wait (1), without the token kept for the last forget command (1).

The test of log lines failed in 2 of 8 runs of late_commands. Traced: whether an event is enabled is cached for the process, and tests without a subscriber emit the same events at the same time; 4 of 40 runs beside other tests of the process fail, so it isn't the service.

--- a/src/controller/direct_commands.rs
+++ b/src/controller/direct_commands.rs
@@ -32,6 +32,10 @@
 /// these exits may take up only a small part of a heartbeat, here a sixteenth of the body limit.
 const MAX_OPEN_STARTS: usize = BODY_LIMIT / MAX_TASK_STATUS_BYTES / 16;
 
+/// The number of forget commands in a response up to which they wait for a request in flight.
+/// Like open starts, the exits meanwhile may take up only a small part of a heartbeat.
+const MAX_DEFERRED_FORGETS: usize = MAX_OPEN_STARTS;
+
 /// A request with direct commands, to be sent to one worker now.
 #[derive(Clone, Debug)]
 pub struct DirectRequest {
@@ -208,18 +212,18 @@
     /// Makes a response with forget commands carry a higher token than all direct requests with
     /// starts before it, so that the worker refuses copies of them from the moment at which it
     /// forgets their attempts. While a request is in flight, which the worker would refuse for
-    /// the higher token, the forget commands wait for the next response instead.
+    /// the higher token, a few forget commands wait for the next response instead.
     pub(super) fn fence_answered_starts(
         &mut self,
         machine: &MachineId,
         commands: &mut Vec<TaskCommand>,
     ) {
         let Some(machine) = self.fleet.machines.get_mut(machine) else { return };
-        let forgets = commands.iter().any(|command| command.op == CommandKind::Forget);
-        if !forgets || !machine.open_starts.copies_are_valid_at(machine.token) {
+        let forgets = commands.iter().filter(|c| c.op == CommandKind::Forget).count();
+        if forgets == 0 || !machine.open_starts.copies_are_valid_at(machine.token) {
             return;
         }
-        if machine.commands_in_flight {
+        if machine.commands_in_flight && forgets <= MAX_DEFERRED_FORGETS {
             commands.retain(|command| command.op != CommandKind::Forget);
         } else {
             machine.token = self.tokens.next_above(machine.token);
--- a/src/fleet/open_starts/tests.rs
+++ b/src/fleet/open_starts/tests.rs
@@ -42,3 +42,16 @@
     open.record_sent(2, 5, Vec::new());
     assert!(!open.is_open(2), "a request without starts is not kept");
 }
+
+#[test]
+fn copies_of_answered_requests_are_valid_until_a_higher_token_or_incarnation() {
+    let mut open = OpenStarts::default();
+    open.record_sent(1, 5, Vec::new());
+    assert!(!open.copies_are_valid_at(5), "a copy without starts starts nothing");
+    open.record_sent(2, 6, vec![start(0)]);
+    open.close(2);
+    assert!(open.is_empty() && open.copies_are_valid_at(5) && open.copies_are_valid_at(6));
+    assert!(!open.copies_are_valid_at(7));
+    open.end_incarnation();
+    assert!(!open.copies_are_valid_at(6));
+}
--- a/tests/late_commands/command_log.rs
+++ b/tests/command_log.rs
@@ -1,24 +1,34 @@
 //! Log lines at `info` from which the life of an attempt can be told.
+//!
+//! Each test has a thread and a log of its own. The subscriber is that of the whole process and is
+//! installed before the first event: whether an event is enabled is cached for the process, so a
+//! subscriber of one thread could miss events that another thread was the first to emit.
 
-use std::{
-    io,
-    sync::{Arc, Mutex},
-};
+#[allow(dead_code)] // Each test binary uses its own part.
+mod common;
+
+use std::{cell::RefCell, io, sync::Once};
 
+use common::leader_harness::{
+    LeaderHarness, exited, lose_response, place_one_task, respond, running, take_direct_request,
+};
 use serde_json::json;
 use stonewheel::protocol::{ExitCause, TaskStatus};
-use tracing::{level_filters::LevelFilter, subscriber::DefaultGuard};
+use tracing::level_filters::LevelFilter;
+
+static SUBSCRIBER: Once = Once::new();
 
-use crate::common::leader_harness::{LeaderHarness, exited, running};
-use crate::open_starts::{lose_response, place_one_task, respond, take_direct_request};
+thread_local! {
+    /// The log output of the thread.
+    static OUTPUT: RefCell<Vec<u8>> = const { RefCell::new(Vec::new()) };
+}
 
-/// Log output of the current thread.
-#[derive(Clone, Default)]
-struct Output(Arc<Mutex<Vec<u8>>>);
+/// Writes to the log output of the current thread.
+struct ThreadOutput;
 
-impl io::Write for Output {
+impl io::Write for ThreadOutput {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().expect("not poisoned").write(bytes)
+        OUTPUT.with_borrow_mut(|output| output.write(bytes))
     }
 
     fn flush(&mut self) -> io::Result<()> {
@@ -26,23 +36,22 @@
     }
 }
 
-impl Output {
-    /// Collects all lines at `info` until the guard is dropped.
-    fn collect(&self) -> DefaultGuard {
-        let output = self.clone();
-        let subscriber = tracing_subscriber::fmt()
-            .with_writer(move || output.clone())
+/// Collects all lines at `info` from now on.
+fn collect_logs() {
+    SUBSCRIBER.call_once(|| {
+        tracing_subscriber::fmt()
+            .with_writer(|| ThreadOutput)
             .with_max_level(LevelFilter::INFO)
             .with_ansi(false)
             .without_time()
-            .finish();
-        tracing::subscriber::set_default(subscriber)
-    }
+            .init();
+    });
+}
 
-    fn lines(&self) -> Vec<String> {
-        let bytes = self.0.lock().expect("not poisoned").clone();
-        String::from_utf8(bytes).expect("text").lines().map(str::to_owned).collect()
-    }
+/// Returns the lines of the current thread.
+fn logged_lines() -> Vec<String> {
+    let bytes = OUTPUT.with_borrow(Clone::clone);
+    String::from_utf8(bytes).expect("text").lines().map(str::to_owned).collect()
 }
 
 /// Asserts that some line contains all these parts.
@@ -53,8 +62,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn logs_tell_what_started_settled_and_ended_an_attempt_and_when_it_was_forgotten() {
-    let output = Output::default();
-    let _guard = output.collect();
+    collect_logs();
     let mut harness = LeaderHarness::new(5);
     harness.heartbeat("n-1", 1, &[]);
     place_one_task(&mut harness, "j-000001");
@@ -72,7 +80,7 @@
     }
     let stray = TaskStatus { attempt: 9, ..tasks[0].clone() };
     harness.heartbeat("n-1", 1, &[tasks[0].clone(), stray]);
-    let lines = output.lines();
+    let lines = logged_lines();
     let sent = ["sent directly", "machine=n-1", "incarnation=1"];
     assert_line(&lines, &[&sent[..], &["request=1", "token=5", "j-000001/0@1"]].concat());
     assert_line(&lines, &["request=1", "\"no answer\"", "token=6"]);
@@ -86,8 +94,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn log_lines_about_many_attempts_are_short() {
-    let output = Output::default();
-    let _guard = output.collect();
+    collect_logs();
     let mut harness = LeaderHarness::new(5);
     harness.heartbeat("n-1", 1, &[]);
     let small = json!({"Spokes": 300, "Gpus": 0.0, "Cores": 0.1, "MemoryGb": 0.1});
@@ -100,7 +107,7 @@
         started += request.commands.commands.len();
         respond(&mut harness, &request, 7, &[]);
     }
-    let lines = output.lines();
+    let lines = logged_lines();
     assert!(started > 100, "{started}");
     assert!(lines.iter().all(|line| line.len() < 2048), "{lines:#?}");
     let logged: usize = lines.iter().map(|line| line.matches("j-000001/").count()).sum();
--- a/tests/common/leader_harness.rs
+++ b/tests/common/leader_harness.rs
@@ -4,7 +4,7 @@
 
 use serde_json::json;
 use stonewheel::{
-    controller::{Commit, Leader, StateService},
+    controller::{Commit, DirectOutcome, DirectRequest, Leader, StateService},
     fencing::TermTokens,
     protocol::{
         CommandKind, ExitCause, JobSpec, TaskCommand, TaskState, TaskStatus, WorkerHeartbeat, Write,
@@ -256,3 +256,33 @@
 pub fn ops(commands: &[TaskCommand], kind: CommandKind) -> Vec<&TaskCommand> {
     commands.iter().filter(|command| command.op == kind).collect()
 }
+
+/// Returns the last of the direct requests that the leader sends now.
+pub fn take_direct_request(harness: &mut LeaderHarness) -> DirectRequest {
+    harness.leader.take_direct_requests(harness.now).pop().expect("a direct request")
+}
+
+/// Makes the worker respond to a request with a heartbeat that lists `tasks`.
+pub fn respond(
+    harness: &mut LeaderHarness,
+    sent: &DirectRequest,
+    sequence: u64,
+    tasks: &[TaskStatus],
+) {
+    let token = harness.worker_token(&sent.machine);
+    let heartbeat = heartbeat_of(&sent.machine, sent.commands.incarnation, sequence, token, tasks);
+    let outcome = DirectOutcome::Answered(&heartbeat);
+    harness.leader.on_direct_outcome(sent, outcome, harness.now).expect("leads");
+    harness.sequences.insert(sent.machine.to_string(), sequence);
+}
+
+/// Records that a request got no response and may still be carried out.
+pub fn lose_response(harness: &mut LeaderHarness, sent: &DirectRequest) {
+    harness.leader.on_direct_outcome(sent, DirectOutcome::Unknown, harness.now).expect("leads");
+}
+
+/// Submits a job of one task and commits its placement.
+pub fn place_one_task(harness: &mut LeaderHarness, id: &str) {
+    harness.submit(id, json!({"Spokes": 1, "Gpus": 0.0}));
+    harness.settle();
+}
--- a/tests/late_commands/cancelled_tasks.rs
+++ b/tests/late_commands/cancelled_tasks.rs
@@ -2,10 +2,10 @@
 //! `cancel_s` of the confirmed cancellation.
 
 use crate::common::{
-    LateCommands, TestDeployment, assert_no_violation, leader_harness::LeaderHarness, seconds,
-    state,
+    LateCommands, TestDeployment, assert_no_violation,
+    leader_harness::{LeaderHarness, lose_response, place_one_task, take_direct_request},
+    seconds, state,
 };
-use crate::open_starts::{lose_response, place_one_task, take_direct_request};
 use serde_json::json;
 use std::time::Duration;
 use stonewheel::{
--- a/tests/late_commands/direct_calls.rs
+++ b/tests/late_commands/direct_calls.rs
@@ -3,10 +3,9 @@
 
 use crate::common::{
     TestDeployment, assert_no_violation,
-    leader_harness::{LeaderHarness, ops},
+    leader_harness::{LeaderHarness, lose_response, ops, place_one_task},
     seconds, settings, state,
 };
-use crate::open_starts::{lose_response, place_one_task};
 use serde_json::json;
 use std::time::Duration;
 use stonewheel::{
--- a/tests/late_commands/main.rs
+++ b/tests/late_commands/main.rs
@@ -7,7 +7,6 @@
 mod common;
 
 mod cancelled_tasks;
-mod command_log;
 mod direct_calls;
 mod open_starts;
 mod record_deletion;
--- a/tests/late_commands/open_starts.rs
+++ b/tests/late_commands/open_starts.rs
@@ -3,7 +3,10 @@
 
 use crate::common::{
     TestDeployment,
-    leader_harness::{LeaderHarness, exited, heartbeat_of, ops, running},
+    leader_harness::{
+        LeaderHarness, exited, lose_response, ops, place_one_task, respond, running,
+        take_direct_request,
+    },
     seconds, state,
 };
 use serde_json::json;
@@ -11,33 +14,9 @@
     controller::{DirectOutcome, DirectRequest},
     fencing::TermTokens,
     node::HeartbeatReply,
-    protocol::{CommandKind, ExitCause, TaskCommand, TaskStatus},
+    protocol::{CommandKind, ExitCause, TaskCommand},
 };
 
-/// Returns the last of the direct requests that the leader sends now.
-pub(crate) fn take_direct_request(harness: &mut LeaderHarness) -> DirectRequest {
-    harness.leader.take_direct_requests(harness.now).pop().expect("a direct request")
-}
-
-/// Makes the worker respond to a request with a heartbeat that lists `tasks`.
-pub(crate) fn respond(
-    harness: &mut LeaderHarness,
-    sent: &DirectRequest,
-    sequence: u64,
-    tasks: &[TaskStatus],
-) {
-    let token = harness.worker_token(&sent.machine);
-    let heartbeat = heartbeat_of(&sent.machine, sent.commands.incarnation, sequence, token, tasks);
-    let outcome = DirectOutcome::Answered(&heartbeat);
-    harness.leader.on_direct_outcome(sent, outcome, harness.now).expect("leads");
-    harness.sequences.insert(sent.machine.to_string(), sequence);
-}
-
-/// Records that a request got no response and may still be carried out.
-pub(crate) fn lose_response(harness: &mut LeaderHarness, sent: &DirectRequest) {
-    harness.leader.on_direct_outcome(sent, DirectOutcome::Unknown, harness.now).expect("leads");
-}
-
 /// Returns the start command for a task of `job` in a direct request.
 fn start_command<'a>(sent: &'a DirectRequest, job: &str) -> &'a TaskCommand {
     let of_job =
@@ -45,12 +24,6 @@
     sent.commands.commands.iter().find(of_job).expect("a start of the job")
 }
 
-/// Submits a job of one task and commits its placement.
-pub(crate) fn place_one_task(harness: &mut LeaderHarness, id: &str) {
-    harness.submit(id, json!({"Spokes": 1, "Gpus": 0.0}));
-    harness.settle();
-}
-
 /// Sends the start of `j-000001` to a machine in two requests: the first is still in flight, the
 /// second got a response. Returns the start command.
 fn start_sent_twice(harness: &mut LeaderHarness) -> TaskCommand {
--- a/tests/late_commands/repeated_commands.rs
+++ b/tests/late_commands/repeated_commands.rs
@@ -6,16 +6,17 @@
 use stonewheel::{
     controller::DirectRequest,
     fencing::TermTokens,
-    protocol::{CommandKind, ExitCause, TaskCommand},
+    protocol::{CommandKind, ExitCause, TaskCommand, TaskStatus},
 };
 use tokio::time::sleep;
 
 use crate::common::{
     TestDeployment,
-    leader_harness::{LeaderHarness, exited, ops, running},
+    leader_harness::{
+        LeaderHarness, exited, ops, place_one_task, respond, running, take_direct_request,
+    },
     seconds, settings, state,
 };
-use crate::open_starts::{place_one_task, respond, take_direct_request};
 
 const JOB: &str = "j-000001";
 const TASK: &str = "j-000001/0";
@@ -199,6 +200,33 @@
     assert!(harness.leader.token_for("n-1") > second.commands.token);
 }
 
+/// If direct requests to a worker are in flight all the time, its exits must not pile up until its
+/// heartbeats exceed their maximum size.
+#[tokio::test(start_paused = true)]
+async fn many_forget_commands_wait_for_no_direct_request() {
+    let mut harness = LeaderHarness::new(5);
+    harness.heartbeat("n-1", 1, &[]);
+    let small = json!({"Spokes": 40, "Gpus": 0.0, "Cores": 0.1, "MemoryGb": 0.1});
+    harness.submit(JOB, small);
+    harness.settle();
+    let first = take_direct_request(&mut harness);
+    let starts = first.commands.commands.clone();
+    respond(&mut harness, &first, 7, &starts.iter().map(running).collect::<Vec<_>>());
+    let exits: Vec<TaskStatus> =
+        starts.iter().map(|start| exited(start, ExitCause::Done)).collect();
+    harness.heartbeat("n-1", 1, &exits);
+    harness.settle();
+    place_one_task(&mut harness, "j-000002");
+    let second = take_direct_request(&mut harness);
+    let commands = harness.heartbeat("n-1", 1, &exits);
+    assert_eq!(ops(&commands, CommandKind::Forget).len(), 40);
+    assert!(harness.leader.token_for("n-1") > second.commands.token);
+    // The worker refuses the request in flight, so the start is sent again.
+    respond(&mut harness, &second, 20, &[]);
+    let commands = harness.heartbeat("n-1", 1, &[]);
+    assert_eq!(ops(&commands, CommandKind::Start).len(), 1);
+}
+
 /// The last token of a term is kept for forget commands, since nothing could void a copy of a
 /// start that was sent under it.
 #[tokio::test(start_paused = true)]
@@ -226,3 +254,40 @@
     harness.settle();
     assert_eq!(harness.leader.token_for("n-1"), 6, "no token beyond the range");
 }
+
+/// Followers must not answer a worker below the token that its forget commands raised, or its
+/// lease would run out within the outage.
+#[tokio::test(start_paused = true)]
+async fn followers_renew_leases_of_workers_with_raised_tokens_in_an_outage() {
+    for previous_version in [false, true] {
+        let deployment = TestDeployment::new(1).await;
+        let leader = deployment.leader().expect("a leader");
+        for follower in (0..3).filter(|node| *node != leader) {
+            deployment.set_previous_version(follower, previous_version);
+        }
+        seconds(5).await;
+        let machine = deployment.machines()[0].clone();
+        let token_before = deployment.last_heartbeat(&machine).token;
+        deployment.runs_for(TASK, 4);
+        let service = json!({"Shape": "service", "Spokes": 1, "Gpus": 0.0});
+        assert!(state(&deployment.submit(0, "j-000002", service).await).is_some());
+        let batch = json!({"Spokes": 1, "Rank": "best_effort", "Gpus": 0.0});
+        assert!(state(&deployment.submit(0, JOB, batch).await).is_some());
+        deployment.until("both start", || deployment.starts() == 2).await;
+        deployment.until("one is forgotten", || !deployment.lists_attempt(TASK, 1)).await;
+        seconds(2).await;
+        assert!(deployment.last_heartbeat(&machine).token > token_before);
+        deployment.state.set_outage(true);
+        deployment.kill_node(leader);
+        seconds(2 * LEASE_S - 4).await;
+        assert_eq!(deployment.incarnation(&machine), 1, "previous version: {previous_version}");
+        assert!(deployment.runs_on("j-000002", &machine));
+        assert_eq!(deployment.command_cost().renewals_refused, 0);
+        deployment.state.set_outage(false);
+        deployment.until("another leads", || deployment.leader() != Some(leader)).await;
+        seconds(LEASE_S).await;
+        assert_eq!(deployment.incarnation(&machine), 1);
+        assert_eq!(deployment.starts(), 2);
+        assert!(deployment.violations().is_empty());
+    }
+}
