--- a/crates/stonewheel-rollout/tests/scenarios.rs
+++ b/crates/stonewheel-rollout/tests/scenarios.rs
@@ -53,6 +53,24 @@
     }
 }
 
+/// A copy of a command arrives after more commands than the record remembers.
+#[tokio::test(start_paused = true)]
+#[ignore = "known to fail, see KNOWN-RED.txt: issue 28"]
+async fn copy_of_an_old_start_command_begins_no_rollout() {
+    let deployment = Deployment::new(LEVEL, 10, 4).await;
+    deployment.roll_out(1, 3).await.expect("accepted");
+    for number in 0..4 {
+        deployment.command(1, &format!("p-{number}"), CommandKind::Pause).await.expect("accepted");
+        deployment.command(1, &format!("r-{number}"), CommandKind::Resume).await.expect("accepted");
+    }
+    assert_ends(&deployment, Phase::Done, "two").await;
+    let back = CommandKind::Start { to: "one".into(), steps: vec![100], surge: 3 };
+    deployment.command(1, "back", back).await.expect("accepted");
+    assert_ends(&deployment, Phase::Done, "one").await;
+    let _ = deployment.roll_out(1, 3).await;
+    assert_ends(&deployment, Phase::Done, "one").await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn rollback_at_any_time_loses_no_capacity_and_no_request() {
     for after_s in (1..60).step_by(6) {
