--- a/tests/production_size.rs
+++ b/tests/production_size.rs
@@ -182,7 +182,7 @@
                 let machines = deployment.machines();
                 for _ in 0..20 {
                     let machine = &machines[rng.random_range(0..machines.len())];
-                    deployment.hang_for(machine, rng.random_range(1.0..20.0));
+                    deployment.hang_for(machine, rng.random_range(0.1..20.0));
                 }
             }
             4 => {
